--- a/include/hornbeam/load_report.h
+++ b/include/hornbeam/load_report.h
@@ -18,6 +18,9 @@
   std::uint32_t service_time_short_us = 0;  // Smoothed; 0 while unknown.
   std::uint32_t service_time_long_us = 0;   // Smoothed; 0 while unknown.
   std::uint32_t failure_per_mille = 0;      // Recent share of failed calls.
+  // How long work takes now, in hundredths of the usual time, as the upstream
+  // itself says; 100 where it says nothing.
+  std::uint32_t slowdown_percent = 100;
   bool draining = false;
 
   bool operator==(const load_report&) const = default;
@@ -26,7 +29,8 @@
   void serialize(Archive& archive) {
     archive(incarnation, sequence, slot_limit, running_short, running_long,
             queued_short, queued_long, service_time_short_us,
-            service_time_long_us, failure_per_mille, draining);
+            service_time_long_us, failure_per_mille, slowdown_percent,
+            draining);
   }
 };
 
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -22,20 +22,29 @@
   kCallRerouted = 1002,
   kCallEnded = 1003,
   kCallHedged = 1005,
+  kRequestEnded = 1006,
+  kRequestsServed = 1007,
   // Placement.
   kCallAdmitted = 2001,
   kCallRefused = 2002,
   kCallCancelled = 2003,
+  kUpstreamLoadChanged = 2004,
   // Membership.
   kUpstreamAnnounced = 3001,
   kLeaseRenewalFailed = 3002,
   kMembershipChanged = 3003,
   kControlIsolated = 3004,
+  kAnnouncementRefused = 3005,
+  kUpstreamStateChanged = 3006,
+  kControlListChanged = 3007,
   // Ledger.
   kClaimEnded = 4003,
   // Settings.
   kSettingsAccepted = 5001,
   kSettingsInForce = 5002,
+  kRoutingAccepted = 5003,
+  kRoutingInForce = 5004,
+  kRoutingChangeEnded = 5005,
   // Replication.
   kReplicaRoleChanged = 6001,
   kReplicaStorageFailed = 6002,
@@ -44,6 +53,7 @@
   kProcessDraining = 7002,
   kProcessStopped = 7003,
   kProcessFailed = 7004,
+  kProcessReloaded = 7005,
   // Wire.
   kPeerConnected = 8001,
   kPeerLost = 8002,
--- a/src/base/spdlog_event_log.cc
+++ b/src/base/spdlog_event_log.cc
@@ -34,6 +34,7 @@
 
 spdlog::sink_ptr MakeSink(const std::string& path) {
   if (path.empty()) return std::make_shared<spdlog::sinks::stderr_sink_mt>();
+  if (path == "-") return std::make_shared<spdlog::sinks::stdout_sink_mt>();
   return std::make_shared<spdlog::sinks::basic_file_sink_mt>(path);
 }
 
--- a/src/base/store_client.h
+++ b/src/base/store_client.h
@@ -12,7 +12,7 @@
 namespace hornbeam {
 
 // The replicated stores.
-enum class store_id : std::uint8_t { kSettings, kLedger };
+enum class store_id : std::uint8_t { kSettings, kLedger, kRouting };
 
 // Why a store gave no reply.
 enum class store_error : std::uint8_t {
--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -1,6 +1,7 @@
 #include "controllers/control_service.h"
 
 #include <algorithm>
+#include <iterator>
 #include <map>
 #include <utility>
 
@@ -12,6 +13,7 @@
 #include "controllers/store_mapping.h"
 #include "io/fiber_group.h"
 #include "io/io_loop.h"
+#include "routing/routing_codec.h"
 #include "settings/settings_codec.h"
 #include "settings/settings_messages.h"
 
@@ -41,6 +43,12 @@
 
 }  // namespace
 
+std::vector<replica_host*> control_stores::All() const {
+  std::vector<replica_host*> all = {settings, ledger, routing};
+  std::erase(all, nullptr);
+  return all;
+}
+
 // One accepted connection: of a node, another control VM or hornbeamctl.
 class control_service::session final : public frame_handler {
  public:
@@ -74,6 +82,9 @@
   // Services watched, with the version of the leases that was last pushed.
   std::map<std::string, std::uint64_t>& Watched() { return watched_; }
 
+  void WatchRouting() { watches_routing_ = true; }
+  [[nodiscard]] bool WatchesRouting() const { return watches_routing_; }
+
  private:
   void Greet(frame_connection& connection, const hello& greeting) {
     if (greeting.protocol_version != kProtocolVersion) {
@@ -96,6 +107,8 @@
       service_.leases_.End(end->node, end->incarnation, service_.clock_.Now());
     } else if (const auto* watch = std::get_if<service_watch>(&content)) {
       service_.HandleWatch(*this, *watch);
+    } else if (const auto* routes = std::get_if<routing_watch>(&content)) {
+      service_.HandleRoutingWatch(*this, *routes);
     } else if (auto* request = std::get_if<store_request>(&content)) {
       service_.HandleStore(connection, std::move(*request));
     } else if (const auto* status = std::get_if<status_request>(&content)) {
@@ -112,6 +125,7 @@
   control_service& service_;
   std::string sender_;
   frame_connection* connection_ = nullptr;
+  bool watches_routing_ = false;
   std::map<std::string, std::uint64_t> watched_;
 };
 
@@ -149,20 +163,22 @@
 }
 
 bool control_service::IsReady() const {
-  return IsVoter(stores_.settings.Status()) &&
-         IsVoter(stores_.ledger.Status()) && KnowsLeaders();
+  const auto is_voter = [](const replica_host* store) {
+    return IsVoter(store->Status());
+  };
+  return std::ranges::all_of(stores_.All(), is_voter) && KnowsLeaders();
 }
 
 bool control_service::KnowsLeaders() const {
-  return !stores_.settings.Status().leader.empty() &&
-         !stores_.ledger.Status().leader.empty();
+  return std::ranges::none_of(stores_.All(), [](const replica_host* store) {
+    return store->Status().leader.empty();
+  });
 }
 
 void control_service::TickLoop() {
   while (!stopped_) {
     const time_point now = clock_.Now();
-    stores_.settings.Tick(now);
-    stores_.ledger.Tick(now);
+    for (replica_host* store : stores_.All()) store->Tick(now);
     io_loop::SleepFor(kReplicaTickInterval);
   }
 }
@@ -175,6 +191,7 @@
     CheckIsolation(now);
     if (isolated_) continue;
     leases_.Expire(now);
+    FollowMembers();
     PushChanges();
     PassOnLeases(now);
   }
@@ -247,6 +264,7 @@
   whole.settled = HasSettled();
   watcher.Watched()[watch.service] = HasSettled() ? leases_.Version() : 0;
   watcher.Push(whole);
+  if (stores_.settings == nullptr) return;
   settings_update settings = ReadSettings(watch.service);
   if (settings.store_revision > watch.known_revision) watcher.Push(settings);
 }
@@ -256,7 +274,13 @@
   const time_point deadline =
       clock_.Now() + std::chrono::microseconds(request.deadline_us);
   const std::uint64_t correlation = request.correlation;
-  replica_host& store = Store(request.store);
+  replica_host* const found = Store(request.store);
+  if (found == nullptr) {
+    connection.TrySend(store_reply{.correlation = correlation,
+                                   .status = store_status::kRejected});
+    return;
+  }
+  replica_host& store = *found;
   const std::string leader = store.Status().leader;
   const bool leads_elsewhere =
       !leader.empty() && store.Status().role != replica_role::kLeader;
@@ -296,28 +320,79 @@
   status_reply reply{.correlation = request.correlation,
                      .control = self_.name,
                      .settings_revision = StoreRevision()};
-  reply.stores = {
-      SummarizeStore(store_id::kSettings, stores_.settings.Status()),
-      SummarizeStore(store_id::kLedger, stores_.ledger.Status())};
+  for (const store_id each :
+       {store_id::kSettings, store_id::kLedger, store_id::kRouting}) {
+    const replica_host* const store = Store(each);
+    if (store != nullptr) {
+      reply.stores.push_back(SummarizeStore(each, store->Status()));
+    }
+  }
   reply.nodes = leases_.Summaries(clock_.Now());
   connection.TrySend(reply);
 }
 
 void control_service::HandleReplica(const std::string& sender,
                                     const replica_envelope& envelope) {
-  Store(envelope.store).OnMessage(sender, envelope.bytes);
+  replica_host* const store = Store(envelope.store);
+  if (store != nullptr) store->OnMessage(sender, envelope.bytes);
+}
+
+void control_service::HandleRoutingWatch(session& watcher,
+                                         const routing_watch& watch) {
+  watcher.WatchRouting();
+  watcher.Push(control_list{members_});
+  // What is committed here but not pushed yet follows with the next round.
+  if (stores_.routing == nullptr || pushed_routing_ == 0) return;
+  if (watch.known_version >= pushed_routing_) return;
+  watcher.Push(routing_update{.version = pushed_routing_,
+                              .table = stores_.routing->QueryStale(
+                                  EncodeRoutingQuery(routing_query::kTable))});
+}
+
+void control_service::PushRouting() {
+  if (stores_.routing == nullptr) return;
+  const auto version = DecodeRoutingVersion(
+      stores_.routing->QueryStale(EncodeRoutingQuery(routing_query::kVersion)));
+  if (!version || *version <= pushed_routing_) return;
+  pushed_routing_ = *version;
+  log_.Write(event_id::kRoutingAccepted, {{"version", *version}});
+  const routing_update update{.version = *version,
+                              .table = stores_.routing->QueryStale(
+                                  EncodeRoutingQuery(routing_query::kTable))};
+  for (session* each : sessions_) {
+    if (each->WatchesRouting()) each->Push(update);
+  }
+}
+
+// The other control VMs change as machines are replaced.
+void control_service::FollowMembers() {
+  if (stores_.routing == nullptr) return;
+  std::vector<std::string> names;
+  std::ranges::transform(stores_.routing->Status().replicas,
+                         std::back_inserter(names), &replica_peer_status::name);
+  std::ranges::sort(names);
+  const auto repeated = std::ranges::unique(names);
+  names.erase(repeated.begin(), repeated.end());
+  if (names.empty() || names == members_) return;
+  members_ = std::move(names);
+  mesh_.EnsurePeers(members_);
+  for (session* each : sessions_) {
+    if (each->WatchesRouting()) each->Push(control_list{members_});
+  }
 }
 
 void control_service::PushChanges() {
   PushSettings();
+  PushRouting();
   PushMemberships();
 }
 
 void control_service::PushSettings() {
+  if (stores_.settings == nullptr) return;
   const std::uint64_t revision = StoreRevision();
   if (revision <= pushed_revision_) return;
   const auto changed = DecodeDocumentList(
-      stores_.settings.QueryStale(EncodeSettingsQuery(service_changes_query{
+      stores_.settings->QueryStale(EncodeSettingsQuery(service_changes_query{
           .after_store_revision = pushed_revision_, .services = {}})));
   pushed_revision_ = revision;
   if (!changed) return;
@@ -359,14 +434,15 @@
 }
 
 std::uint64_t control_service::StoreRevision() const {
+  if (stores_.settings == nullptr) return 0;
   const auto list = DecodeDocumentList(
-      stores_.settings.QueryStale(EncodeSettingsQuery(revision_query{})));
+      stores_.settings->QueryStale(EncodeSettingsQuery(revision_query{})));
   return list ? list->store_revision : 0;
 }
 
 settings_update control_service::ReadSettings(
     const std::string& service) const {
-  const auto list = DecodeDocumentList(stores_.settings.QueryStale(
+  const auto list = DecodeDocumentList(stores_.settings->QueryStale(
       EncodeSettingsQuery(service_changes_query{.services = {service}})));
   settings_update update{.service = service};
   if (!list || list->documents.empty()) return update;
@@ -381,8 +457,16 @@
          kSettleIntervals * options_.lease_interval;
 }
 
-replica_host& control_service::Store(store_id store) const {
-  return store == store_id::kSettings ? stores_.settings : stores_.ledger;
+replica_host* control_service::Store(store_id store) const {
+  switch (store) {
+    case store_id::kSettings:
+      return stores_.settings;
+    case store_id::kLedger:
+      return stores_.ledger;
+    case store_id::kRouting:
+      return stores_.routing;
+  }
+  return nullptr;
 }
 
 }  // namespace hornbeam
--- a/src/controllers/control_service.h
+++ b/src/controllers/control_service.h
@@ -5,6 +5,7 @@
 #include <memory>
 #include <string>
 #include <unordered_set>
+#include <vector>
 
 #include "controllers/lease_table.h"
 #include "controllers/store_forwarder.h"
@@ -25,10 +26,14 @@
 
 // The replicated stores of one control VM. Owned by the daemon.
 struct control_stores {
-  replica_host& settings;
-  replica_host& ledger;
+  // Null for a store that this deployment does without.
+  replica_host* settings = nullptr;
+  replica_host* ledger = nullptr;
+  replica_host* routing = nullptr;
   // Checks settings changes before they enter the log.
   const proposal_gate& settings_gate;
+
+  [[nodiscard]] std::vector<replica_host*> All() const;
 };
 
 struct control_service_options {
@@ -74,12 +79,16 @@
   void PassOnLeases(time_point now);
   void PushChanges();
   void PushSettings();
+  void PushRouting();
+  void HandleRoutingWatch(session& watcher, const routing_watch& watch);
+  void FollowMembers();
   void PushChange(const change_record& change);
   void PushMemberships();
   [[nodiscard]] std::uint64_t StoreRevision() const;
   [[nodiscard]] settings_update ReadSettings(const std::string& service) const;
   [[nodiscard]] bool HasSettled() const;
-  [[nodiscard]] replica_host& Store(store_id store) const;
+  // Null for a store that is not there.
+  [[nodiscard]] replica_host* Store(store_id store) const;
 
   const clock_source& clock_;
   event_log& log_;
@@ -97,6 +106,8 @@
   bool isolated_ = false;
   std::uint64_t pushed_revision_ = 0;
   std::uint64_t pushed_version_ = 0;
+  std::uint64_t pushed_routing_ = 0;
+  std::vector<std::string> members_;  // Addresses of the control VMs.
   bool stopped_ = false;
   std::unordered_set<session*> sessions_;
 };
--- /dev/null
+++ b/src/controllers/fleet_directory.cc
@@ -0,0 +1,196 @@
+#include "controllers/fleet_directory.h"
+
+#include <algorithm>
+#include <iterator>
+#include <mutex>
+#include <ranges>
+#include <utility>
+
+#include "base/event_log.h"
+#include "io/fiber_group.h"
+#include "routing/routing_codec.h"
+
+namespace hornbeam {
+
+namespace {
+
+// Takes over what is known of the load from an earlier entry of the same life.
+fleet_member MakeMember(const upstream_lease& lease, const endpoint& address,
+                        const std::vector<fleet_member>& known) {
+  fleet_member member{.lease = lease, .address = address};
+  const auto same = std::ranges::find_if(known, [&](const fleet_member& each) {
+    return each.lease.node == lease.node &&
+           each.lease.incarnation == lease.incarnation &&
+           each.lease.instance == lease.instance;
+  });
+  if (same == known.end()) return member;
+  member = *same;
+  member.lease = lease;
+  member.address = address;
+  return member;
+}
+
+}  // namespace
+
+fleet_directory::fleet_directory(const clock_source& clock, event_log& log,
+                                 const upstream_lease& self,
+                                 const fleet_options& options)
+    : clock_(clock), log_(log), options_(options), self_(self) {}
+
+fleet_directory::~fleet_directory() = default;
+
+void fleet_directory::Start(control_client& control, fiber_group& fibers) {
+  control_ = &control;
+  fibers.Start([this] { LeaseLoop(); });
+}
+
+void fleet_directory::Stop() {
+  stopped_ = true;
+  changed_.notify_all();
+}
+
+std::vector<fleet_member>& fleet_directory::Members(std::string_view service) {
+  static std::vector<fleet_member> none;
+  const auto found = services_.find(service);
+  if (found != services_.end()) return found->second;
+  none.clear();
+  return none;
+}
+
+fleet_member* fleet_directory::Find(std::string_view service,
+                                    const upstream_id& id) {
+  auto& members = Members(service);
+  const auto found = std::ranges::find(members, id, &fleet_member::Id);
+  return found == members.end() ? nullptr : &*found;
+}
+
+void fleet_directory::SetOwnUpstream(std::string_view service,
+                                     std::string_view instance,
+                                     std::uint32_t slots, bool draining) {
+  upstream_lease lease = self_;
+  lease.service = service;
+  lease.instance = instance;
+  lease.slots = slots;
+  lease.draining = draining || draining_;
+  if (lease == self_) return;
+  ++lease.sequence;
+  self_ = std::move(lease);
+  SendLease();
+}
+
+void fleet_directory::BeginDrain() {
+  draining_ = true;
+  SetOwnUpstream(self_.service, self_.instance, self_.slots, true);
+}
+
+void fleet_directory::EndLease() {
+  lease_ended_ = true;
+  control_->SendHome(
+      lease_end{.node = self_.node, .incarnation = self_.incarnation});
+}
+
+void fleet_directory::LeaseLoop() {
+  while (!stopped_) {
+    SendLease();
+    std::unique_lock lock(mutex_);
+    changed_.wait_until(lock, clock_.Now() + options_.lease_interval,
+                        [this] { return stopped_; });
+  }
+}
+
+void fleet_directory::SendLease() {
+  if (control_ == nullptr || lease_ended_) return;
+  control_->SendHome(
+      lease_renewal{.lease = self_, .settings_revision = Version()});
+}
+
+std::uint64_t fleet_directory::Version() const {
+  return table_ ? table_->Table().version : 0;
+}
+
+void fleet_directory::OnHomeUp() {
+  SendLease();
+  control_->SendHome(routing_watch{.known_version = Version()});
+  WatchServices();
+}
+
+void fleet_directory::OnHomeDown() {
+  log_.Write(event_id::kLeaseRenewalFailed,
+             {{"node", self_.node}, {"version", Version()}});
+}
+
+void fleet_directory::WatchServices() {
+  for (const auto& service : services_ | std::views::keys) {
+    control_->SendHome(service_watch{.service = service});
+  }
+}
+
+void fleet_directory::OnHomeMessage(message content) {
+  if (const auto* update = std::get_if<routing_update>(&content)) {
+    TakeTable(*update);
+  } else if (const auto* members = std::get_if<membership_update>(&content)) {
+    TakeMembers(*members);
+  } else if (const auto* list = std::get_if<control_list>(&content)) {
+    TakeControlList(*list);
+  }
+}
+
+void fleet_directory::TakeTable(const routing_update& update) {
+  auto table = DecodeRoutingTable(update.table);
+  if (!table || table->version <= Version()) return;
+  table_ = routing_snapshot::MakeRoutingSnapshot(std::move(*table));
+  log_.Write(
+      event_id::kRoutingInForce,
+      {{"version", Version()}, {"routes", table_->Table().routes.size()}});
+  for (const auto& service : table_->Table().services | std::views::keys) {
+    if (services_.contains(service)) continue;
+    services_.try_emplace(service);
+    control_->SendHome(service_watch{.service = service});
+  }
+  std::erase_if(services_, [this](const auto& entry) {
+    return !table_->Table().services.contains(entry.first);
+  });
+}
+
+void fleet_directory::TakeMembers(const membership_update& update) {
+  const auto found = services_.find(update.service);
+  if (found == services_.end()) return;
+  std::vector<fleet_member>& members = found->second;
+  members_told_ = true;
+  std::vector<fleet_member> next;
+  for (const upstream_lease& lease : update.present) {
+    const auto address = endpoint::Parse(lease.peers_address);
+    if (address) next.push_back(MakeMember(lease, *address, members));
+  }
+  const auto is_replaced = [&](const fleet_member& each) {
+    const auto same_node = [&](const fleet_member& other) {
+      return other.lease.node == each.lease.node;
+    };
+    return std::ranges::any_of(next, same_node) ||
+           std::ranges::find(update.gone, each.lease.node) != update.gone.end();
+  };
+  // A control VM that has just started does not know all leases yet.
+  if (!update.whole || !update.settled) {
+    std::ranges::copy_if(
+        members, std::back_inserter(next),
+        [&](const fleet_member& each) { return !is_replaced(each); });
+  }
+  members = std::move(next);
+  log_.Write(event_id::kMembershipChanged,
+             {{"service", update.service}, {"members", members.size()}});
+}
+
+void fleet_directory::TakeControlList(const control_list& list) {
+  std::vector<endpoint> addresses;
+  for (const std::string& text : list.addresses) {
+    if (const auto address = endpoint::Parse(text)) {
+      addresses.push_back(*address);
+    }
+  }
+  if (control_->AddAddresses(addresses)) {
+    log_.Write(event_id::kControlListChanged,
+               {{"known", control_->ControlCount()}});
+  }
+}
+
+}  // namespace hornbeam
--- /dev/null
+++ b/src/controllers/instance_handler.cc
@@ -0,0 +1,54 @@
+#include "controllers/instance_handler.h"
+
+#include <string>
+#include <utility>
+
+#include "base/event_log.h"
+#include "base/metrics_registry.h"
+#include "controllers/instance_server.h"
+#include "wire/endpoint.h"
+
+namespace hornbeam {
+
+instance_handler::instance_handler(const platform_codec& codec, event_log& log,
+                                   instance_server& server,
+                                   std::function<bool()> is_ready,
+                                   std::function<std::string()> format_metrics)
+    : codec_(codec),
+      log_(log),
+      server_(server),
+      is_ready_(std::move(is_ready)),
+      format_metrics_(std::move(format_metrics)) {}
+
+http_response instance_handler::Handle(const http_request& request,
+                                       cancel_source& /*caller_gone*/) {
+  if (request.method == "GET" && request.target == "/metrics") {
+    return {.status = 200,
+            .headers = {{"Content-Type", std::string(kMetricsContentType)}},
+            .body = format_metrics_()};
+  }
+  const auto read = codec_.ReadNodeRequest(request);
+  if (!read) {
+    log_.Write(event_id::kAnnouncementRefused,
+               {{"target", request.target}, {"reason", read.error().reason}});
+    return codec_.WriteFault(read.error());
+  }
+  const node_request& asked = read.value();
+  if (std::holds_alternative<readiness_check>(asked)) {
+    return codec_.WriteReadiness(is_ready_());
+  }
+  if (const auto* announced = std::get_if<instance_announcement>(&asked)) {
+    if (!endpoint::Parse(announced->address)) {
+      const codec_fault fault{.reason = "address: no IP number with a port"};
+      log_.Write(event_id::kAnnouncementRefused,
+                 {{"target", request.target}, {"reason", fault.reason}});
+      return codec_.WriteFault(fault);
+    }
+    server_.Announce(*announced);
+  } else {
+    server_.Withdraw(std::get<instance_withdrawal>(asked));
+  }
+  return codec_.WriteAcknowledgement();
+}
+
+}  // namespace hornbeam
--- /dev/null
+++ b/src/controllers/operator_handler.h
@@ -0,0 +1,46 @@
+// Answers operators who change and read the routing table.
+#pragma once
+
+#include <cstdint>
+
+#include "hornbeam/clock_source.h"
+#include "hornbeam/platform_codec.h"
+#include "http/http_server.h"
+
+namespace hornbeam {
+
+class event_log;
+class replica_host;
+
+struct operator_options {
+  // The operators' port, the same on all control VMs.
+  std::uint16_t port = 0;
+  // For one change or read; operators turn elsewhere after about a second.
+  duration time_limit = std::chrono::milliseconds(900);
+};
+
+// Of one control VM; owned by the daemon, for the I/O thread only. Changes and
+// reads are the leader's; another control VM points to it.
+class operator_handler final : public http_handler {
+ public:
+  operator_handler(const clock_source& clock, event_log& log,
+                   const platform_codec& codec, replica_host& routing,
+                   const operator_options& options);
+
+  http_response Handle(const http_request& request,
+                       cancel_source& caller_gone) override;
+
+ private:
+  http_response Change(const http_request& request,
+                       const routing_change& change);
+  http_response Read(const http_request& request);
+  http_response PointToLeader(const http_request& request);
+
+  const clock_source& clock_;
+  event_log& log_;
+  const platform_codec& codec_;
+  replica_host& routing_;
+  const operator_options options_;
+};
+
+}  // namespace hornbeam
--- a/src/controllers/replica_mesh.cc
+++ b/src/controllers/replica_mesh.cc
@@ -10,6 +10,14 @@
 
 namespace hornbeam {
 
+namespace {
+
+// More control VMs than a deployment ever has at once, with those that were
+// replaced meanwhile.
+constexpr std::size_t kMostLinks = 64;
+
+}  // namespace
+
 // What others say of their own comes over their own links: on these come only
 // replies to store requests.
 class replica_mesh::reply_observer final : public link_observer {
@@ -43,20 +51,19 @@
                            const process_identity& self,
                            const endpoint& own_address,
                            std::span<const endpoint> control_addresses)
-    : observer_(std::make_unique<reply_observer>()) {
-  // Replicas name each other by address.
-  const process_identity sender{own_address.ToString(), self.incarnation};
+    : loop_(loop),
+      clock_(clock),
+      sender_{own_address.ToString(), self.incarnation},
+      observer_(std::make_unique<reply_observer>()) {
   for (const endpoint& address : control_addresses) {
-    if (address == own_address) continue;
-    links_.push_back(std::make_unique<message_link>(
-        loop, clock, sender, address, connection_purpose::kReplica,
-        message_link_options{}, *observer_));
+    if (address != own_address) AddLink(address.ToString());
   }
 }
 
 replica_mesh::~replica_mesh() = default;
 
 void replica_mesh::Start(fiber_group& fibers) {
+  fibers_ = &fibers;
   for (const auto& link : links_) link->Start(fibers);
 }
 
@@ -83,11 +90,34 @@
       [](const auto& link) { return link->TotalBytes(); });
 }
 
-bool replica_mesh::Send(std::string_view peer, const message& content) {
+void replica_mesh::EnsurePeers(std::span<const std::string> peers) {
+  for (const std::string& peer : peers) {
+    if (FindLink(peer) == nullptr) AddLink(peer);
+  }
+}
+
+message_link* replica_mesh::FindLink(std::string_view peer) {
   const auto found = std::ranges::find_if(links_, [peer](const auto& link) {
     return link->Peer().ToString() == peer;
   });
-  return found != links_.end() && (*found)->TrySend(content);
+  return found == links_.end() ? nullptr : found->get();
+}
+
+message_link* replica_mesh::AddLink(std::string_view peer) {
+  const auto address = endpoint::Parse(peer);
+  if (!address || peer == sender_.name) return nullptr;
+  if (links_.size() >= kMostLinks) return nullptr;
+  links_.push_back(std::make_unique<message_link>(
+      loop_, clock_, sender_, *address, connection_purpose::kReplica,
+      message_link_options{}, *observer_));
+  if (fibers_ != nullptr) links_.back()->Start(*fibers_);
+  return links_.back().get();
+}
+
+bool replica_mesh::Send(std::string_view peer, const message& content) {
+  message_link* link = FindLink(peer);
+  if (link == nullptr) link = AddLink(peer);
+  return link != nullptr && link->TrySend(content);
 }
 
 void replica_mesh::OnStoreReply(std::function<void(store_reply)> handler) {
--- a/src/controllers/replica_mesh.h
+++ b/src/controllers/replica_mesh.h
@@ -33,10 +33,14 @@
   void Start(fiber_group& fibers);
   void Stop();
 
+  // Opens links to those of `peers` that have none yet.
+  void EnsurePeers(std::span<const std::string> peers);
+
   // Sends to every other control VM that is connected.
   void Broadcast(const message& content);
 
-  // Sends to the control VM at `peer`; false when it is not connected.
+  // Sends to the control VM at `peer`; false when it is not connected. One that
+  // is new gets a link.
   bool Send(std::string_view peer, const message& content);
 
   // Sets who gets the replies to store requests that were sent here; null for
@@ -53,6 +57,13 @@
   class mesh_transport;
   class reply_observer;
 
+  message_link* FindLink(std::string_view peer);
+  message_link* AddLink(std::string_view peer);
+
+  io_loop& loop_;
+  const clock_source& clock_;
+  const process_identity sender_;  // Replicas name each other by address.
+  fiber_group* fibers_ = nullptr;
   std::unique_ptr<reply_observer> observer_;
   std::vector<std::unique_ptr<message_link>> links_;
 };
--- a/src/daemon/control_daemon.cc
+++ b/src/daemon/control_daemon.cc
@@ -14,6 +14,7 @@
 #include "base/seeded_random_source.h"
 #include "base/system_clock_source.h"
 #include "controllers/control_service.h"
+#include "controllers/operator_handler.h"
 #include "controllers/replica_host.h"
 #include "controllers/replica_mesh.h"
 #include "daemon/daemon_settings.h"
@@ -35,6 +36,9 @@
 constexpr int kExitStorageFailed = 5;
 constexpr duration kFiberEndLimit = std::chrono::seconds(5);
 
+// A routing table of some ten thousand routes.
+constexpr std::size_t kOperatorBodyBytes = std::size_t{16} << 20U;
+
 constexpr metric_family kMeshBytes{
     "hornbeam_replica_bytes_total",
     "Bytes to and from other control VMs so far."};
@@ -44,9 +48,11 @@
 // Everything of one control process.
 class control_daemon {
  public:
-  control_daemon(const daemon_settings& settings, event_log& log)
+  control_daemon(const daemon_settings& settings, event_log& log,
+                 const platform_codec* codec)
       : settings_(settings),
         log_(log),
+        codec_(codec),
         random_(seeded_random_source::MakeSystemSeed()),
         self_{settings.process.name, random_.Next() | 1U},
         metrics_(clock_),
@@ -60,12 +66,14 @@
             [this] { Sample(); }) {}
 
   int Run() {
-    settings_store_ = MakeStore(store_id::kSettings, "settings");
-    ledger_store_ = MakeStore(store_id::kLedger, "ledger");
-    if (!settings_store_ || !ledger_store_) return kExitStorageFailed;
+    if (!MakeStores()) return kExitStorageFailed;
     service_ = std::make_unique<control_service>(
         clock_, log_, self_,
-        control_stores{*settings_store_, *ledger_store_, *gate_}, mesh_,
+        control_stores{.settings = settings_store_.get(),
+                       .ledger = ledger_store_.get(),
+                       .routing = routing_store_.get(),
+                       .settings_gate = *gate_},
+        mesh_,
         control_service_options{
             .lease_duration = settings_.limits.lease_duration,
             .lease_interval = settings_.limits.lease_interval});
@@ -74,6 +82,7 @@
     service_->Start(fibers_);
     peers_->Start(*service_, fibers_);
     local_server_->Start(local_, fibers_);
+    if (operator_server_) operator_server_->Start(*operators_, fibers_);
     log_.Write(event_id::kProcessStarted,
                {{"role", "control"},
                 {"name", settings_.process.name},
@@ -83,14 +92,36 @@
   }
 
  private:
+  // With a platform's codec the routing table is all that is kept.
+  bool MakeStores() {
+    if (codec_ != nullptr) {
+      routing_store_ = MakeStore(store_id::kRouting, "routing");
+      return routing_store_ != nullptr;
+    }
+    settings_store_ = MakeStore(store_id::kSettings, "settings");
+    ledger_store_ = MakeStore(store_id::kLedger, "ledger");
+    return settings_store_ && ledger_store_;
+  }
+
   std::unique_ptr<replica_host> MakeStore(store_id store,
                                           const std::string& folder_name) {
     const auto folder =
         std::filesystem::path(settings_.data_folder) / folder_name;
     auto storage = file_log_storage::MakeFileLogStorage(folder, random_.Next());
     if (!storage) return Refuse(storage.error());
+    const control_settings& control = settings_.control;
     replica_options options{.name = settings_.listen.peers.ToString(),
-                            .store_name = folder_name};
+                            .store_name = folder_name,
+                            .heartbeat_interval = control.heartbeat_interval,
+                            .election_timeout = control.election_timeout};
+    if (control.tolerated_losses > 0) {
+      options.wanted_voters = 2 * control.tolerated_losses + 1;
+    }
+    const bool is_named = std::ranges::find(settings_.control_addresses,
+                                            settings_.listen.peers) !=
+                          settings_.control_addresses.end();
+    options.may_found =
+        control.may_found && (is_named || control.tolerated_losses == 0);
     std::ranges::transform(settings_.control_addresses,
                            std::back_inserter(options.configured_names),
                            &endpoint::ToString);
@@ -120,14 +151,28 @@
                                                 http_server_options{}, clock_);
     peers_ = frame_listener::MakeFrameListener(loop_, settings_.listen.peers,
                                                clock_);
-    if (local_server_ && peers_) return true;
+    const bool operators_listen = codec_ == nullptr || ListenToOperators();
+    if (local_server_ && peers_ && operators_listen) return true;
     log_.Write(event_id::kProcessFailed,
                {{"reason", "an address of section [listen] is in use"}});
     return false;
   }
 
+  bool ListenToOperators() {
+    const endpoint address =
+        settings_.listen.operators.value_or(settings_.listen.local);
+    operators_ = std::make_unique<operator_handler>(
+        clock_, log_, *codec_, *routing_store_,
+        operator_options{.port = address.port});
+    operator_server_ = http_server::MakeHttpServer(
+        loop_, address.host, address.port,
+        http_server_options{.body_limit_bytes = kOperatorBodyBytes}, clock_);
+    return operator_server_ != nullptr;
+  }
+
   int Stop() {
     log_.Write(event_id::kProcessDraining, {{"name", settings_.process.name}});
+    if (operator_server_) operator_server_->Drain();
     local_server_->Drain();
     peers_->Stop();
     service_->Stop();
@@ -147,6 +192,7 @@
 
   const daemon_settings& settings_;
   event_log& log_;
+  const platform_codec* const codec_;  // Null without a platform.
   system_clock_source clock_;
   seeded_random_source random_;
   const process_identity self_;
@@ -160,16 +206,20 @@
   std::unique_ptr<proposal_gate> gate_;
   std::unique_ptr<replica_host> settings_store_;
   std::unique_ptr<replica_host> ledger_store_;
+  std::unique_ptr<replica_host> routing_store_;
   local_handler local_;
   std::unique_ptr<control_service> service_;
+  std::unique_ptr<operator_handler> operators_;
+  std::unique_ptr<http_server> operator_server_;
   std::unique_ptr<http_server> local_server_;
   std::unique_ptr<frame_listener> peers_;
 };
 
 }  // namespace
 
-int RunControl(const daemon_settings& settings, event_log& log) {
-  return std::make_unique<control_daemon>(settings, log)->Run();
+int RunControl(const daemon_settings& settings, event_log& log,
+               const platform_codec* codec) {
+  return std::make_unique<control_daemon>(settings, log, codec)->Run();
 }
 
 }  // namespace hornbeam
--- a/src/daemon/control_daemon.h
+++ b/src/daemon/control_daemon.h
@@ -4,9 +4,12 @@
 namespace hornbeam {
 
 class event_log;
+class platform_codec;
 struct daemon_settings;
 
 // Runs until a signal asks to stop. Returns the process's exit code.
-int RunControl(const daemon_settings& settings, event_log& log);
+// `codec` speaks a platform's words; null without a platform.
+int RunControl(const daemon_settings& settings, event_log& log,
+               const platform_codec* codec = nullptr);
 
 }  // namespace hornbeam
--- a/src/daemon/daemon_settings.cc
+++ b/src/daemon/daemon_settings.cc
@@ -52,7 +52,10 @@
     for (const ini_entry& entry : document_.entries) ReadEntry(entry);
     if (role_known) FindMissing();
     if (faults_.faults.empty()) CheckTogether();
-    if (faults_.faults.empty()) return std::move(settings_);
+    if (faults_.faults.empty()) {
+      FollowPeersPort();
+      return std::move(settings_);
+    }
     std::ranges::sort(faults_.faults, IsEarlier);
     return std::move(faults_);
   }
@@ -168,6 +171,13 @@
     }
   }
 
+  void FollowPeersPort() {
+    if (settings_.control.peers_port == 0) return;
+    for (endpoint& address : settings_.control_addresses) {
+      address.port = settings_.control.peers_port;
+    }
+  }
+
   // Port 0 takes any free port, so two such listeners never meet.
   static bool IsSameListener(const endpoint& a, const endpoint& b) {
     return a == b && a.port != 0;
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -29,6 +29,9 @@
   std::string name;  // Unique in the deployment.
   std::string region;
   std::string availability_zone;
+  // Role node: the service of the upstream until it announces itself; may be
+  // empty.
+  std::string service;
 };
 
 // Section [listen].
@@ -38,6 +41,23 @@
   // Where other nodes reach `peers` from outside; nothing: as it listens.
   std::optional<endpoint> advertised_peers;
   endpoint local;
+  // Where the upstream announces itself, where it is not `local`.
+  std::optional<endpoint> announcements;  // Role node only.
+  // Where operators change the routing table.
+  std::optional<endpoint> operators;  // Role control only.
+};
+
+// Section [control], beside the addresses.
+struct control_settings {
+  // Port of the peers listeners where the addresses name another; 0: as given.
+  std::uint16_t peers_port = 0;
+  // Whether this may be the first start of all, with empty disks.
+  bool may_found = true;
+  // Control VMs that may be lost at once; 0: as many as the configured ones
+  // bear, and no others join.
+  std::uint32_t tolerated_losses = 0;
+  std::chrono::milliseconds heartbeat_interval{};
+  std::chrono::milliseconds election_timeout{};
 };
 
 // One line of section [teams].
@@ -72,6 +92,7 @@
   process_settings process;
   listen_settings listen;
   std::vector<endpoint> control_addresses;  // Never empty.
+  control_settings control;
   std::string data_folder;             // Role control only, and always there.
   std::vector<team_credential> teams;  // Role control only; in file order.
   log_settings log;
--- /dev/null
+++ b/src/daemon/routed_node_daemon.cc
@@ -0,0 +1,290 @@
+#include "daemon/routed_node_daemon.h"
+
+#include <algorithm>
+#include <memory>
+#include <string>
+#include <vector>
+
+#include "base/event_log.h"
+#include "base/metrics_registry.h"
+#include "base/process_metrics.h"
+#include "base/seeded_random_source.h"
+#include "base/system_clock_source.h"
+#include "controllers/fleet_directory.h"
+#include "controllers/instance_handler.h"
+#include "controllers/instance_server.h"
+#include "controllers/routed_ingress.h"
+#include "daemon/config_faults.h"
+#include "daemon/daemon_settings.h"
+#include "daemon/stop_signals.h"
+#include "http/http_server.h"
+#include "io/fiber_group.h"
+#include "io/io_loop.h"
+#include "wire/call_server.h"
+#include "wire/control_client.h"
+#include "wire/frame_listener.h"
+
+namespace hornbeam {
+
+namespace {
+
+constexpr int kExitBindFailed = 3;
+constexpr int kExitStuck = 4;
+constexpr duration kDrainCheck = std::chrono::milliseconds(20);
+constexpr duration kFiberEndLimit = std::chrono::milliseconds(200);
+// The platform asks once a second and turns callers away after two refusals;
+// until then they still come.
+constexpr duration kCallersTurnAway = std::chrono::milliseconds(2600);
+constexpr duration kCountsInterval = std::chrono::seconds(5);
+
+// The control VM whose address is most like the own one: platforms number the
+// VMs of a zone in one network. Only a preference.
+std::size_t NearestControl(const daemon_settings& settings) {
+  const std::string& own = settings.listen.peers.host;
+  const auto common = [&own](const endpoint& address) {
+    const auto ends = std::ranges::mismatch(own, address.host);
+    return ends.in1 - own.begin();
+  };
+  const auto nearest =
+      std::ranges::max_element(settings.control_addresses, {}, common);
+  return static_cast<std::size_t>(nearest - settings.control_addresses.begin());
+}
+
+duration ControlSilence(const limit_settings& limits) {
+  constexpr int kParts = 8;
+  constexpr int kSilentParts = 3;
+  return duration(limits.lease_duration) * kSilentParts / kParts;
+}
+
+http_server_options MakeHttpOptions(const limit_settings& limits) {
+  return {.header_limit_bytes = limits.header_bytes,
+          .body_limit_bytes = limits.request_body_bytes,
+          .connection_limit = limits.caller_connections,
+          .transfer_timeout = limits.header_timeout,
+          .idle_timeout = limits.idle_timeout};
+}
+
+upstream_lease MakeOwnLease(const daemon_settings& settings,
+                            std::uint64_t incarnation) {
+  return {.node = settings.process.name,
+          .incarnation = incarnation,
+          .sequence = 1,
+          .peers_address = settings.listen.peers.ToString(),
+          .region = settings.process.region,
+          .availability_zone = settings.process.availability_zone};
+}
+
+// Everything of one node process. Members are in the order in which they
+// depend on each other.
+class routed_node_daemon {
+ public:
+  routed_node_daemon(const daemon_settings& settings, std::string settings_path,
+                     event_log& log, const platform_codec& codec)
+      : settings_(settings),
+        settings_path_(std::move(settings_path)),
+        log_(log),
+        random_(seeded_random_source::MakeSystemSeed()),
+        self_{settings.process.name, random_.Next() | 1U},
+        metrics_(clock_),
+        process_metrics_(metrics_),
+        signals_(loop_),
+        directory_(
+            clock_, log, MakeOwnLease(settings, self_.incarnation),
+            fleet_options{.lease_interval = settings.limits.lease_interval}),
+        control_(control_client::MakeControlClient(
+            loop_, clock_, self_, settings.control_addresses,
+            NearestControl(settings), &directory_,
+            ControlSilence(settings.limits))),
+        server_(loop_, clock_, log, self_, codec,
+                instance_server_options{
+                    .answer_limit_bytes = settings.limits.response_body_bytes}),
+        ingress_(loop_, clock_, random_, log, self_,
+                 settings.process.availability_zone, codec, directory_, server_,
+                 MakeIngressOptions(settings)),
+        calls_(clock_, self_, server_, call_fibers_,
+               call_server_options{
+                   .body_limit_bytes = settings.limits.request_body_bytes,
+                   .answer_store_bytes = settings.limits.response_body_bytes}),
+        handler_(
+            codec, log, server_,
+            [this] { return !stopping_ && directory_.IsReady(); },
+            [this] {
+              process_metrics_.Sample();
+              return metrics_.FormatText();
+            }) {}
+
+  int Run() {
+    if (!Listen()) return kExitBindFailed;
+    signals_.OnHangUp([this] { Reload(); });
+    StartAll();
+    log_.Write(event_id::kProcessStarted,
+               {{"role", "node"},
+                {"node", settings_.process.name},
+                {"incarnation", self_.incarnation},
+                {"callers", settings_.listen.callers->ToString()},
+                {"peers", settings_.listen.peers.ToString()}});
+    signals_.WaitFirst();
+    return Drain();
+  }
+
+ private:
+  static ingress_options MakeIngressOptions(const daemon_settings& settings) {
+    ingress_options options;
+    options.link.silence_timeout = settings.limits.peer_silence_timeout;
+    options.link.answer_limit_bytes = settings.limits.response_body_bytes;
+    options.link.fate_grace = std::chrono::milliseconds(100);
+    return options;
+  }
+
+  std::unique_ptr<http_server> Serve(const endpoint& address) {
+    return http_server::MakeHttpServer(loop_, address.host, address.port,
+                                       MakeHttpOptions(settings_.limits),
+                                       clock_);
+  }
+
+  bool Listen() {
+    const listen_settings& listen = settings_.listen;
+    callers_server_ = Serve(*listen.callers);
+    local_server_ = Serve(listen.local);
+    if (listen.announcements) {
+      announcement_server_ = Serve(*listen.announcements);
+    }
+    peers_ = frame_listener::MakeFrameListener(loop_, listen.peers, clock_);
+    const bool hears_upstream = !listen.announcements || announcement_server_;
+    if (callers_server_ && local_server_ && hears_upstream && peers_) {
+      return true;
+    }
+    log_.Write(event_id::kProcessFailed,
+               {{"reason", "an address of section [listen] is in use"}});
+    return false;
+  }
+
+  void StartAll() {
+    ingress_.SetOwnService(settings_.process.service);
+    server_.Start(
+        fibers_, [this](const instance_announcement& announced, bool draining) {
+          ingress_.SetOwnService(announced.service);
+          directory_.SetOwnUpstream(announced.service, announced.instance,
+                                    announced.slots, draining);
+        });
+    ingress_.Start(fibers_);
+    control_->Start(fibers_);
+    directory_.Start(*control_, fibers_);
+    peers_->Start(calls_, fibers_);
+    local_server_->Start(handler_, fibers_);
+    if (announcement_server_) announcement_server_->Start(handler_, fibers_);
+    callers_server_->Start(ingress_, caller_fibers_);
+    fibers_.Start([this] { CountsLoop(); });
+  }
+
+  void CountsLoop() {
+    time_point next = clock_.Now() + kCountsInterval;
+    while (!stopped_) {
+      io_loop::SleepFor(kCountsInterval / 5);
+      if (clock_.Now() < next) continue;
+      next = clock_.Now() + kCountsInterval;
+      ingress_.LogCounts();
+    }
+  }
+
+  // Only the control VMs may change while the process runs.
+  void Reload() {
+    const auto read = ReadDaemonSettingsFile(settings_path_);
+    if (!read) {
+      log_.Write(event_id::kProcessReloaded,
+                 {{"taken", false},
+                  {"faults", FormatFaults(settings_path_, read.error())}});
+      return;
+    }
+    control_->AddAddresses(read.value().control_addresses);
+    log_.Write(event_id::kProcessReloaded,
+               {{"taken", true}, {"controls", control_->ControlCount()}});
+  }
+
+  // Other nodes turn to other upstreams at once, callers when the platform has
+  // noticed; what has begun ends.
+  int Drain() {
+    log_.Write(event_id::kProcessDraining, {{"node", settings_.process.name}});
+    const time_point limit = clock_.Now() + settings_.limits.drain_timeout;
+    stopping_ = true;
+    directory_.BeginDrain();
+    server_.BeginDrain();
+    io_loop::SleepFor(kCallersTurnAway);
+    callers_server_->Drain();
+    const bool all_ended = WaitWhile(limit, [this] {
+      return caller_fibers_.size() > 0 || server_.RunningCalls() > 0 ||
+             calls_.UndeliveredCalls() > 0;
+    });
+    directory_.EndLease();
+    ingress_.LogCounts();
+    StopAll();
+    const bool fibers_ended =
+        fibers_.WaitEmpty(clock_.Now() + kFiberEndLimit) &&
+        call_fibers_.WaitEmpty(clock_.Now() + kFiberEndLimit) &&
+        caller_fibers_.WaitEmpty(clock_.Now() + kFiberEndLimit);
+    log_.Write(event_id::kProcessStopped,
+               {{"node", settings_.process.name}, {"whole", all_ended}});
+    // What still runs refers to this object.
+    if (!fibers_ended) std::quick_exit(all_ended ? 0 : kExitStuck);
+    return all_ended ? 0 : kExitStuck;
+  }
+
+  template <class Condition>
+  bool WaitWhile(time_point limit, Condition condition) {
+    while (condition()) {
+      if (clock_.Now() >= limit || signals_.IsHurried()) return false;
+      io_loop::SleepFor(kDrainCheck);
+    }
+    return true;
+  }
+
+  void StopAll() {
+    stopped_ = true;
+    local_server_->Drain();
+    if (announcement_server_) announcement_server_->Drain();
+    peers_->Stop();
+    calls_.Stop();
+    directory_.Stop();
+    server_.Stop();
+    ingress_.Stop();
+    control_->Stop();
+  }
+
+  const daemon_settings& settings_;
+  const std::string settings_path_;
+  event_log& log_;
+  system_clock_source clock_;
+  seeded_random_source random_;
+  const process_identity self_;
+  io_loop loop_;
+  fiber_group fibers_;
+  fiber_group call_fibers_;
+  fiber_group caller_fibers_;
+  metrics_registry metrics_;
+  process_metrics process_metrics_;
+  stop_signals signals_;
+  fleet_directory directory_;
+  std::unique_ptr<control_client> control_;
+  instance_server server_;
+  routed_ingress ingress_;
+  call_server calls_;
+  instance_handler handler_;
+  std::unique_ptr<http_server> callers_server_;
+  std::unique_ptr<http_server> local_server_;
+  std::unique_ptr<http_server> announcement_server_;
+  std::unique_ptr<frame_listener> peers_;
+  bool stopping_ = false;
+  bool stopped_ = false;
+};
+
+}  // namespace
+
+int RunRoutedNode(const daemon_settings& settings,
+                  const std::string& settings_path, event_log& log,
+                  const platform_codec& codec) {
+  return std::make_unique<routed_node_daemon>(settings, settings_path, log,
+                                              codec)
+      ->Run();
+}
+
+}  // namespace hornbeam
--- a/src/daemon/setting_catalogue.cc
+++ b/src/daemon/setting_catalogue.cc
@@ -45,6 +45,12 @@
      [](text, text value, daemon_settings& settings) {
        return StoreParsed(ParseName(value), settings.process.availability_zone);
      }},
+    {"process", "service", kPath, kNode, 0, 0, "",
+     "Service of the upstream beside the node, until it announces itself.",
+     [](text, text value, daemon_settings& settings) {
+       settings.process.service = value;
+       return true;
+     }},
     {"listen", "callers", kAddress, kNode, 0, 0, kRequired,
      "Where callers reach the node over HTTP.",
      [](text, text value, daemon_settings& settings) {
@@ -68,11 +74,53 @@
      [](text, text value, daemon_settings& settings) {
        return StoreParsed(endpoint::Parse(value), settings.listen.local);
      }},
+    {"listen", "announcements", kAddress, kNode, 0, 0, "",
+     "Where the upstream announces itself, where it is not listen.local.",
+     [](text, text value, daemon_settings& settings) {
+       if (value.empty()) return true;
+       return StoreParsed(endpoint::Parse(value),
+                          settings.listen.announcements);
+     }},
+    {"listen", "operators", kAddress, kControl, 0, 0, "",
+     "Where operators change and read the routing table.",
+     [](text, text value, daemon_settings& settings) {
+       if (value.empty()) return true;
+       return StoreParsed(endpoint::Parse(value), settings.listen.operators);
+     }},
     {"control", "addresses", kAddressList, kEveryRole, 0, 0, kRequired,
      "The peers addresses of all control VMs.",
      [](text, text value, daemon_settings& settings) {
        return StoreParsed(ParseAddressList(value), settings.control_addresses);
      }},
+    {"control", "peers_port", kCount, kEveryRole, 0, 65535, "0",
+     "Port of the control VMs' listen.peers, where control.addresses name "
+     "another; 0: as given.",
+     [](text, text value, daemon_settings& settings) {
+       return StoreNumber(value, settings.control.peers_port);
+     }},
+    {"control", "may_found", kCount, kControl, 0, 1, "1",
+     "1 where this may be the first start of all control VMs, 0 later: an "
+     "empty disk then waits to be taken in.",
+     [](text, text value, daemon_settings& settings) {
+       return StoreNumber(value, settings.control.may_found);
+     }},
+    {"control", "tolerated_losses", kCount, kControl, 0, 9, "0",
+     "Control VMs that may be lost at once. Others than the configured ones "
+     "then join; 0: none do.",
+     [](text, text value, daemon_settings& settings) {
+       return StoreNumber(value, settings.control.tolerated_losses);
+     }},
+    {"control", "heartbeat_ms", kMilliseconds, kControl, 10, 60 * kSecond, "50",
+     "Time between two heartbeats of a store's leader.",
+     [](text, text value, daemon_settings& settings) {
+       return StoreNumber(value, settings.control.heartbeat_interval);
+     }},
+    {"control", "election_timeout_ms", kMilliseconds, kControl, 50,
+     60 * kSecond, "500",
+     "Without a word of the leader for so long, a control VM asks for votes.",
+     [](text, text value, daemon_settings& settings) {
+       return StoreNumber(value, settings.control.election_timeout);
+     }},
     {"storage", "data_folder", kPath, kControl, 0, 0, kRequired,
      "Folder on the VM's disk for everything that must last.",
      [](text, text value, daemon_settings& settings) {
@@ -84,7 +132,8 @@
        return StoreTeam(key, value, settings.teams);
      }},
     {"log", "file", kPath, kEveryRole, 0, 0, "",
-     "File that events are appended to; empty: the standard error stream.",
+     "File that events are appended to; empty: the standard error stream, "
+     "`-`: the standard output stream.",
      [](text, text value, daemon_settings& settings) {
        settings.log.file = value;
        return true;
--- a/src/daemon/stop_signals.cc
+++ b/src/daemon/stop_signals.cc
@@ -37,6 +37,8 @@
         if (number != SIGHUP) {
           ++count_;
           first_.Set(true);
+        } else if (on_hang_up_) {
+          on_hang_up_();
         }
         Listen();
       });
--- a/src/daemon/stop_signals.h
+++ b/src/daemon/stop_signals.h
@@ -2,6 +2,8 @@
 #pragma once
 
 #include <boost/asio/signal_set.hpp>
+#include <functional>
+#include <utility>
 
 #include "hornbeam/clock_source.h"
 #include "io/fiber_signal.h"
@@ -21,9 +23,15 @@
 
   // Makes the calling fiber wait for the first signal.
   void WaitFirst();
+
+  // Sets what a hang-up signal calls, on the I/O thread; it must not wait.
+  void OnHangUp(std::function<void()> callback) {
+    on_hang_up_ = std::move(callback);
+  }
   [[nodiscard]] bool IsHurried() const { return count_ > 1; }
 
  private:
+  std::function<void()> on_hang_up_;
   void Listen();
 
   boost::asio::signal_set signals_;
--- a/src/daemon/store_factory.cc
+++ b/src/daemon/store_factory.cc
@@ -7,6 +7,7 @@
 
 #include "daemon/daemon_settings.h"
 #include "ledger/operation_ledger.h"
+#include "routing/routing_store.h"
 #include "settings/settings_gate.h"
 #include "settings/settings_store.h"
 
@@ -14,6 +15,7 @@
 
 std::unique_ptr<state_machine> MakeStateMachine(store_id store) {
   if (store == store_id::kSettings) return std::make_unique<settings_store>();
+  if (store == store_id::kRouting) return std::make_unique<routing_store>();
   return std::make_unique<operation_ledger>();
 }
 
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -1,9 +1,13 @@
 #include "http/http_client.h"
 
+#include <algorithm>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <charconv>
+#include <optional>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -20,9 +24,12 @@
 namespace http = boost::beast::http;
 using boost::asio::ip::tcp;
 
-// A connection that was idle for longer is not used again: the server may be
-// about to close it.
-constexpr duration kReuseLimit = std::chrono::seconds(20);
+// Answers to earlier requests that are passed over before the connection is
+// given up.
+constexpr int kMostStaleAnswers = 4;
+// Of the idle time that a server states, so much is left unused: its clock
+// began earlier than ours.
+constexpr duration kIdleMargin = std::chrono::milliseconds(500);
 constexpr std::size_t kIdleConnectionLimit = 256;
 
 struct open_connection {
@@ -30,9 +37,25 @@
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
-  time_point last_used;
+  time_point usable_until;
 };
 
+// The idle time that the server states in whole seconds; nothing when it states
+// none.
+std::optional<duration> StatedIdleTime(
+    const http::response<http::string_body>& answer) {
+  constexpr std::string_view kName = "timeout=";
+  const std::string_view text = answer[http::field::keep_alive];
+  const std::size_t start = text.find(kName);
+  if (start == std::string_view::npos) return std::nullopt;
+  const std::string_view number = text.substr(start + kName.size());
+  unsigned seconds = 0;
+  const auto parsed =
+      std::from_chars(number.data(), number.data() + number.size(), seconds);
+  if (parsed.ec != std::errc()) return std::nullopt;
+  return std::chrono::seconds(seconds);
+}
+
 http::request<http::string_body> ToBeast(const http_request& request,
                                          const std::string& host) {
   http::request<http::string_body> sent;
@@ -74,11 +97,11 @@
 class beast_http_client final : public http_client {
  public:
   beast_http_client(io_loop& loop, std::string host, std::uint16_t port,
-                    std::size_t answer_limit_bytes, const clock_source& clock)
+                    http_client_options options, const clock_source& clock)
       : loop_(loop),
         host_(std::move(host)),
         port_(port),
-        answer_limit_bytes_(answer_limit_bytes),
+        options_(std::move(options)),
         clock_(clock) {}
 
   result<http_response, http_call_error> Call(const http_request& request,
@@ -96,7 +119,11 @@
     auto answer = Exchange(*connection, request, deadline);
     if (!answer && cancel.IsCancelled()) return http_call_error::kCancelled;
     if (!answer) return answer.error();
-    if (answer.value().keep_alive()) Keep(std::move(connection));
+    // Bytes behind a whole answer belong to no request.
+    const bool is_clean = connection->buffer.size() == 0;
+    if (answer.value().keep_alive() && is_clean) {
+      Keep(std::move(connection), StatedIdleTime(answer.value()));
+    }
     return ToResponse(std::move(answer).value());
   }
 
@@ -105,11 +132,11 @@
       result<http::response<http::string_body>, http_call_error>;
 
   std::unique_ptr<open_connection> TakeIdle() {
-    const time_point oldest = clock_.Now() - kReuseLimit;
+    const time_point now = clock_.Now();
     while (!idle_.empty()) {
       auto connection = std::move(idle_.back());
       idle_.pop_back();
-      const bool usable = connection->last_used >= oldest &&
+      const bool usable = now < connection->usable_until &&
                           IsStillOpen(connection->stream.socket());
       if (usable) return connection;
     }
@@ -133,13 +160,40 @@
     http::async_write(connection.stream, sent, FiberWait(error));
     if (error == beast::error::timeout) return http_call_error::kTimeout;
     if (error) return http_call_error::kLost;
-    http::response_parser<http::string_body> parser;
-    parser.body_limit(answer_limit_bytes_);
-    if (request.method == "HEAD") parser.skip(true);
-    http::async_read(connection.stream, connection.buffer, parser,
-                     FiberWait(error));
-    if (error) return ToError(error);
-    return parser.release();
+    for (int passed_over = 0; passed_over < kMostStaleAnswers; ++passed_over) {
+      http::response_parser<http::string_body> parser;
+      parser.body_limit(options_.answer_limit_bytes);
+      if (request.method == "HEAD") parser.skip(true);
+      http::async_read(connection.stream, connection.buffer, parser,
+                       FiberWait(error));
+      if (error) return ToError(error);
+      const bool is_interim = http::to_status_class(parser.get().result()) ==
+                              http::status_class::informational;
+      if (is_interim) continue;
+      switch (Compare(request, parser.get())) {
+        case echo::kSame:
+          return parser.release();
+        case echo::kMissing:
+          return http_call_error::kMalformed;
+        case echo::kOther:
+          break;
+      }
+    }
+    return http_call_error::kMalformed;
+  }
+
+  enum class echo : std::uint8_t { kSame, kOther, kMissing };
+
+  [[nodiscard]] echo Compare(
+      const http_request& request,
+      const http::response<http::string_body>& answer) const {
+    if (options_.echoed_field.empty()) return echo::kSame;
+    const auto asked = request.Header(options_.echoed_field);
+    if (!asked) return echo::kSame;
+    const auto echoed = answer.find(options_.echoed_field);
+    if (echoed == answer.end()) return echo::kMissing;
+    return std::string_view(echoed->value()) == *asked ? echo::kSame
+                                                       : echo::kOther;
   }
 
   static http_call_error ToError(const boost::system::error_code& error) {
@@ -153,17 +207,21 @@
                                : http_call_error::kLost;
   }
 
-  void Keep(std::unique_ptr<open_connection> connection) {
+  void Keep(std::unique_ptr<open_connection> connection,
+            std::optional<duration> stated) {
     if (idle_.size() >= kIdleConnectionLimit) return;
+    duration idle_time = options_.reuse_limit;
+    if (stated) idle_time = std::min(idle_time, *stated - kIdleMargin);
+    if (idle_time <= duration(0)) return;
     connection->stream.expires_never();
-    connection->last_used = clock_.Now();
+    connection->usable_until = clock_.Now() + idle_time;
     idle_.push_back(std::move(connection));
   }
 
   io_loop& loop_;
   const std::string host_;
   const std::uint16_t port_;
-  const std::size_t answer_limit_bytes_;
+  const http_client_options options_;
   const clock_source& clock_;
   std::vector<std::unique_ptr<open_connection>> idle_;
 };
@@ -173,8 +231,16 @@
 std::unique_ptr<http_client> http_client::MakeHttpClient(
     io_loop& loop, const std::string& host, std::uint16_t port,
     std::size_t answer_limit_bytes, const clock_source& clock) {
+  return MakeHttpClient(
+      loop, host, port,
+      http_client_options{.answer_limit_bytes = answer_limit_bytes}, clock);
+}
+
+std::unique_ptr<http_client> http_client::MakeHttpClient(
+    io_loop& loop, const std::string& host, std::uint16_t port,
+    http_client_options options, const clock_source& clock) {
   return std::make_unique<beast_http_client>(loop, host, port,
-                                             answer_limit_bytes, clock);
+                                             std::move(options), clock);
 }
 
 }  // namespace hornbeam
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -5,6 +5,11 @@
 #include <boost/beast/core/flat_buffer.hpp>
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
+#include <deque>
+#include <memory>
+#include <mutex>
 #include <optional>
 #include <ranges>
 #include <unordered_set>
@@ -25,6 +30,8 @@
 using boost::asio::ip::tcp;
 
 constexpr duration kAcceptRetryDelay = std::chrono::milliseconds(50);
+// Idle connections are looked for so many times within the idle timeout.
+constexpr int kIdleChecks = 10;
 constexpr duration kIdleGrace = std::chrono::milliseconds(500);
 
 using request_parser = http::request_parser<http::string_body>;
@@ -80,19 +87,31 @@
   return response;
 }
 
-// One caller's connection; shared by its fiber and its watch for closing.
+// One caller's connection; shared by its fibers.
+//
+// Requests are read ahead and handled at the same time, each on a fiber of its
+// own; answers leave in the order of the requests. While any request is being
+// handled the reader goes on, so it also sees a caller that goes away.
 class http_session : public std::enable_shared_from_this<http_session> {
  public:
   http_session(tcp::socket socket, http_handler& handler,
-               const http_server_options& options)
-      : stream_(std::move(socket)), handler_(handler), options_(options) {
+               const http_server_options& options, fiber_group& fibers,
+               const clock_source& clock)
+      : stream_(std::move(socket)),
+        handler_(handler),
+        options_(options),
+        fibers_(fibers),
+        clock_(clock),
+        quiet_since_(clock.Now()) {
     boost::system::error_code ignored;
     stream_.socket().set_option(tcp::no_delay(true), ignored);
   }
 
   void Run() {
-    while (!ended_ && ServeOne()) {
+    while (!ended_ && ReadOne()) {
     }
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock, [this] { return exchanges_.empty() && !writing_; });
     Shutdown();
   }
 
@@ -101,20 +120,38 @@
 
   void CloseIfIdle() {
     closing_ = true;
-    if (!idle_) return;
+    EndIdle();
+  }
+
+  void CloseIfQuietSince(time_point limit) {
+    if (quiet_since_ <= limit) EndIdle();
+  }
+
+ private:
+  // One request with its answer.
+  struct exchange {
+    http_request request;
+    cancel_source caller_gone;
+    std::optional<http_response> response;
+    unsigned version = kHttp11;
+    bool wants_keep_alive = true;
+    bool head_only = false;
+  };
+
+  void EndIdle() {
+    if (!idle_ || !exchanges_.empty()) return;
     boost::system::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_receive, ignored);
   }
 
- private:
-  // Reads and answers one request; false when it was the last.
-  bool ServeOne() {
+  // Reads one request and has it handled; false when it was the last.
+  bool ReadOne() {
     request_parser parser;
     parser.header_limit(
         static_cast<std::uint32_t>(options_.header_limit_bytes));
     parser.body_limit(options_.body_limit_bytes);
     boost::system::error_code error;
-    if (!WaitForFirstByte()) return false;
+    if (!WaitForRoom() || !WaitForFirstByte()) return EndReading();
     stream_.expires_after(options_.transfer_timeout);
     http::async_read_header(stream_, buffer_, parser, FiberWait(error));
     if (!error && WantsContinue(parser.get())) SendContinue(parser.get());
@@ -122,15 +159,22 @@
       http::async_read(stream_, buffer_, parser, FiberWait(error));
     }
     if (error) return RejectUnread(error);
-    return Answer(parser.release());
+    return Handle(parser.release());
+  }
+
+  bool WaitForRoom() {
+    std::unique_lock lock(mutex_);
+    changed_.wait(lock,
+                  [this] { return ended_ || exchanges_.size() < kMostAtOnce; });
+    return !ended_;
   }
 
   bool WaitForFirstByte() {
     if (buffer_.size() > 0) return true;
-    if (closing_) return false;
+    if (closing_ && exchanges_.empty()) return false;
     idle_ = true;
     boost::system::error_code error;
-    stream_.expires_after(options_.idle_timeout);
+    stream_.expires_never();
     const std::size_t size = stream_.async_read_some(
         buffer_.prepare(kFirstReadBytes), FiberWait(error));
     buffer_.commit(size);
@@ -138,11 +182,21 @@
     return !error;
   }
 
+  // Nothing more comes from the caller: nobody waits for the answers.
+  bool EndReading() {
+    if (ended_) return false;
+    ended_ = true;
+    for (const auto& each : exchanges_) each->caller_gone.Cancel();
+    return false;
+  }
+
   static bool WantsContinue(const http::request<http::string_body>& request) {
     return beast::iequals(request[http::field::expect], "100-continue");
   }
 
+  // Behind other answers it is left out: callers send the body after a while.
   void SendContinue(const http::request<http::string_body>& request) {
+    if (!exchanges_.empty() || writing_) return;
     http::response<http::empty_body> interim{http::status::continue_,
                                              request.version()};
     boost::system::error_code error;
@@ -151,101 +205,115 @@
 
   bool RejectUnread(const boost::system::error_code& error) {
     const auto status = StatusOf(error);
-    if (status) Write(ToBeast(MakeFault(*status), kHttp11, false, false));
+    if (!status) return EndReading();
+    const auto rejected = std::make_shared<exchange>();
+    rejected->wants_keep_alive = false;
+    rejected->response = MakeFault(*status);
+    exchanges_.push_back(rejected);
+    Flush();
     return false;
   }
 
-  bool Answer(http::request<http::string_body> received) {
-    const unsigned version = received.version();
-    const bool wants_keep_alive = received.keep_alive();
-    const bool head_only = received.method() == http::verb::head;
-    const http_request request = ToRequest(std::move(received));
-    cancel_source caller_gone;
-    stream_.expires_never();
-    StartWatch(caller_gone);
-    http_response response = handler_.Handle(request, caller_gone);
-    StopWatch();
-    if (caller_gone.IsCancelled()) return false;
-    const bool keep_alive = wants_keep_alive && !draining_;
-    return Write(
-               ToBeast(std::move(response), version, keep_alive, head_only)) &&
-           keep_alive;
+  bool Handle(http::request<http::string_body> received) {
+    const auto taken = std::make_shared<exchange>();
+    taken->version = received.version();
+    taken->wants_keep_alive = received.keep_alive();
+    taken->head_only = received.method() == http::verb::head;
+    taken->request = ToRequest(std::move(received));
+    exchanges_.push_back(taken);
+    fibers_.Start([self = shared_from_this(), taken] {
+      taken->response =
+          self->handler_.Handle(taken->request, taken->caller_gone);
+      self->Flush();
+    });
+    return taken->wants_keep_alive || WatchLast();
   }
 
-  bool Write(const beast_response& response) {
-    boost::system::error_code error;
-    stream_.expires_after(options_.transfer_timeout);
-    http::async_write(stream_, response, FiberWait(error));
-    return !error;
+  // Behind the last request only the end of the connection matters.
+  bool WatchLast() {
+    while (!ended_ && WaitForFirstByte()) buffer_.consume(buffer_.size());
+    return EndReading();
   }
 
-  // Looks for the end of the connection while a request is being handled.
-  // Bytes of a next request end the watch: the caller is there.
-  void StartWatch(cancel_source& caller_gone) {
-    watched_ = &caller_gone;
-    if (buffer_.size() > 0 || watching_) return;
-    watching_ = true;
-    stream_.socket().async_wait(
-        tcp::socket::wait_read,
-        [self = shared_from_this()](const boost::system::error_code& error) {
-          self->watching_ = false;
-          if (!error) self->OnReadable();
-        });
+  // Writes the answers that are ready and have no unanswered one before them.
+  void Flush() {
+    if (writing_) return;
+    writing_ = true;
+    while (!exchanges_.empty() && exchanges_.front()->response) {
+      const auto answered = exchanges_.front();
+      if (!broken_ && !answered->caller_gone.IsCancelled()) Write(*answered);
+      exchanges_.pop_front();
+    }
+    writing_ = false;
+    quiet_since_ = clock_.Now();
+    if (closing_ && exchanges_.empty()) EndIdle();
+    changed_.notify_all();
   }
 
-  void OnReadable() {
-    if (watched_ == nullptr) return;
-    char byte = 0;
+  void Write(exchange& answered) {
+    // Requests that were read already get their answers on this connection.
+    const bool is_last = draining_ && exchanges_.size() == 1;
+    const bool keep_alive = answered.wants_keep_alive && !is_last;
+    const beast_response sent =
+        ToBeast(std::move(*answered.response), answered.version, keep_alive,
+                answered.head_only);
     boost::system::error_code error;
-    stream_.socket().non_blocking(true, error);
-    const std::size_t size = stream_.socket().receive(
-        boost::asio::buffer(&byte, 1), tcp::socket::message_peek, error);
-    const bool closed = error != boost::asio::error::would_block && size == 0;
-    if (closed) watched_->Cancel();
-  }
-
-  void StopWatch() {
-    watched_ = nullptr;
-    if (!watching_) return;
+    stream_.expires_after(options_.transfer_timeout);
+    http::async_write(stream_, sent, FiberWait(error));
+    if (!error && keep_alive) return;
+    broken_ = true;
     boost::system::error_code ignored;
-    stream_.socket().cancel(ignored);
+    // A reader that waits for more ends with this.
+    stream_.socket().shutdown(
+        error ? tcp::socket::shutdown_both : tcp::socket::shutdown_receive,
+        ignored);
   }
 
   void Shutdown() {
     boost::system::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
     stream_.socket().close(ignored);
-    ended_ = true;
   }
 
   static constexpr std::size_t kFirstReadBytes = 8192;
   static constexpr unsigned kHttp11 = 11;
+  // Requests of one connection that are handled at the same time.
+  static constexpr std::size_t kMostAtOnce = 16;
 
   beast::tcp_stream stream_;
   beast::flat_buffer buffer_;
   http_handler& handler_;
   const http_server_options& options_;
-  cancel_source* watched_ = nullptr;
-  bool watching_ = false;
+  fiber_group& fibers_;
+  const clock_source& clock_;
+  std::deque<std::shared_ptr<exchange>> exchanges_;
+  time_point quiet_since_;
+  bool writing_ = false;
+  bool broken_ = false;  // Nothing more is written.
   bool idle_ = false;
   bool draining_ = false;
   bool closing_ = false;
-  bool ended_ = false;
+  bool ended_ = false;  // Nothing more is read.
+  boost::fibers::mutex mutex_;
+  boost::fibers::condition_variable changed_;
 };
 
 class beast_http_server final : public http_server {
  public:
-  beast_http_server(tcp::acceptor acceptor, const http_server_options& options)
-      : acceptor_(std::move(acceptor)), options_(options) {}
+  beast_http_server(tcp::acceptor acceptor, const http_server_options& options,
+                    const clock_source& clock)
+      : acceptor_(std::move(acceptor)), options_(options), clock_(clock) {}
 
   void Start(http_handler& handler, fiber_group& fibers) override {
     fibers_ = &fibers;
     fibers.Start([this, &handler, &fibers] { AcceptLoop(handler, fibers); });
+    fibers.Start([this] { CloseQuietLoop(); });
   }
 
   void Drain() override {
     boost::system::error_code ignored;
     acceptor_.close(ignored);
+    drained_.notify_all();
     for (http_session* session : sessions_) session->BeginDrain();
     // A caller may be sending on an idle connection just now. It gets a moment
     // to have its answer, which also says that the connection closes.
@@ -277,10 +345,21 @@
     }
   }
 
+  void CloseQuietLoop() {
+    while (acceptor_.is_open()) {
+      std::unique_lock lock(mutex_);
+      drained_.wait_until(lock,
+                          clock_.Now() + options_.idle_timeout / kIdleChecks,
+                          [this] { return !acceptor_.is_open(); });
+      const time_point limit = clock_.Now() - options_.idle_timeout;
+      for (http_session* session : sessions_) session->CloseIfQuietSince(limit);
+    }
+  }
+
   void StartSession(tcp::socket socket, http_handler& handler,
                     fiber_group& fibers) {
-    const auto session =
-        std::make_shared<http_session>(std::move(socket), handler, options_);
+    const auto session = std::make_shared<http_session>(
+        std::move(socket), handler, options_, fibers, clock_);
     sessions_.insert(session.get());
     fibers.Start([this, session] {
       session->Run();
@@ -290,7 +369,10 @@
 
   tcp::acceptor acceptor_;
   const http_server_options options_;
+  const clock_source& clock_;
   fiber_group* fibers_ = nullptr;
+  boost::fibers::mutex mutex_;
+  boost::fibers::condition_variable drained_;
   std::unordered_set<http_session*> sessions_;
 };
 
@@ -298,10 +380,11 @@
 
 std::unique_ptr<http_server> http_server::MakeHttpServer(
     io_loop& loop, const std::string& host, std::uint16_t port,
-    const http_server_options& options, const clock_source& /*clock*/) {
+    const http_server_options& options, const clock_source& clock) {
   auto acceptor = ListenTcp(loop, host, port);
   if (!acceptor) return nullptr;
-  return std::make_unique<beast_http_server>(std::move(*acceptor), options);
+  return std::make_unique<beast_http_server>(std::move(*acceptor), options,
+                                             clock);
 }
 
 }  // namespace hornbeam
--- /dev/null
+++ b/src/policy/crest_queue.cc
@@ -0,0 +1,158 @@
+#include "policy/crest_queue.h"
+
+#include <algorithm>
+#include <iterator>
+#include <tuple>
+#include <utility>
+
+namespace hornbeam {
+
+namespace {
+
+// Weight of one call in the mean time at the upstream.
+constexpr double kMeanWeight = 0.1;
+
+}  // namespace
+
+void crest_queue::SetLimits(std::uint32_t limit, std::uint32_t nested_limit) {
+  limit_ = limit;
+  nested_limit_ = std::max(limit, nested_limit);
+}
+
+bool crest_queue::Before(const entry& a, const entry& b) const {
+  const auto key = [](const entry& each) {
+    return std::tuple(!each.call.nested, each.late, each.call.priority,
+                      each.call.objective_at);
+  };
+  return key(a) < key(b);
+}
+
+bool crest_queue::HasSlot(const crest_call& call) const {
+  return running_ < (call.nested ? nested_limit_ : limit_);
+}
+
+// Slots become free at the rate at which calls of the usual length end.
+duration crest_queue::ExpectedWait(const entry& offered) const {
+  if (limit_ == 0) return duration::max();
+  if (waiting_.empty() && HasSlot(offered.call)) return duration(0);
+  const auto ahead = static_cast<double>(std::ranges::count_if(
+      waiting_, [&](const entry& each) { return !Before(offered, each); }));
+  const double busy = static_cast<double>(running_) - limit_ + 1;
+  const double calls = ahead + std::max(busy, 0.0);
+  const double mean_us =
+      mean_expected_us_ > 0
+          ? mean_expected_us_
+          : static_cast<double>(offered.call.expected.count());
+  return duration(static_cast<std::int64_t>(calls * mean_us / limit_));
+}
+
+time_point crest_queue::StartBy(const crest_call& call, time_point now) const {
+  const duration spare = call.objective_at - now - call.expected;
+  if (spare <= duration(0)) return now + spare;
+  return now + duration(static_cast<std::int64_t>(
+                   static_cast<double>(spare.count()) * options_.wait_share));
+}
+
+crest_decision crest_queue::Offer(const crest_call& call, time_point now) {
+  entry offered{.call = call, .start_by = StartBy(call, now)};
+  offered.late = offered.start_by < now;
+  const bool hopeless = now + call.expected > call.deadline;
+  crest_decision decision{.wait = ExpectedWait(offered)};
+  const bool is_next = decision.wait == duration(0) && HasSlot(call);
+  if (is_next && (!offered.late || call.settles) && !hopeless) {
+    ++running_;
+    const auto expected = static_cast<double>(call.expected.count());
+    mean_expected_us_ += mean_expected_us_ > 0
+                             ? kMeanWeight * (expected - mean_expected_us_)
+                             : expected;
+    return decision;
+  }
+  if (!offered.late && decision.wait > offered.start_by - now) {
+    offered.late = true;
+    decision.wait = ExpectedWait(offered);
+  }
+  const bool in_time_for_deadline =
+      decision.wait != duration::max() &&
+      now + decision.wait + call.expected <= call.deadline;
+  if (!in_time_for_deadline) {
+    decision.verdict = crest_verdict::kHopeless;
+  } else if (offered.late && !call.settles) {
+    decision.verdict = crest_verdict::kLate;
+  } else {
+    decision.verdict = crest_verdict::kQueued;
+    Insert(std::move(offered));
+  }
+  return decision;
+}
+
+void crest_queue::Insert(entry added) {
+  const auto place = std::ranges::upper_bound(
+      waiting_, added,
+      [this](const entry& a, const entry& b) { return Before(a, b); });
+  waiting_.insert(place, std::move(added));
+}
+
+crest_change crest_queue::Release(time_point now) {
+  if (running_ > 0) --running_;
+  return Advance(now);
+}
+
+crest_change crest_queue::Advance(time_point now) {
+  crest_change change;
+  Fill(change);
+  std::vector<entry> now_late;
+  std::erase_if(waiting_, [&](entry& each) {
+    if (now + each.call.expected > each.call.deadline) {
+      change.hopeless.push_back(each.call.id);
+      return true;
+    }
+    if (each.late || now <= each.start_by) return false;
+    each.late = true;
+    if (each.call.settles) {
+      now_late.push_back(each);
+    } else {
+      change.late.push_back(each.call.id);
+    }
+    return true;
+  });
+  for (entry& each : now_late) Insert(std::move(each));
+  return change;
+}
+
+void crest_queue::Fill(crest_change& change) {
+  while (!waiting_.empty() && HasSlot(waiting_.front().call)) {
+    const entry next = std::move(waiting_.front());
+    waiting_.erase(waiting_.begin());
+    ++running_;
+    const auto expected = static_cast<double>(next.call.expected.count());
+    mean_expected_us_ += kMeanWeight * (expected - mean_expected_us_);
+    change.admitted.push_back(next.call.id);
+  }
+}
+
+bool crest_queue::Cancel(const request_id& id) {
+  return std::erase_if(waiting_, [&id](const entry& each) {
+           return each.call.id == id;
+         }) > 0;
+}
+
+std::vector<request_id> crest_queue::Clear() {
+  std::vector<request_id> all;
+  std::ranges::transform(waiting_, std::back_inserter(all),
+                         [](const entry& each) { return each.call.id; });
+  waiting_.clear();
+  return all;
+}
+
+std::optional<time_point> crest_queue::NextChange() const {
+  std::optional<time_point> next;
+  for (const entry& each : waiting_) {
+    const time_point hopeless_at = each.call.deadline - each.call.expected;
+    const time_point at =
+        each.late ? hopeless_at : std::min(each.start_by, hopeless_at);
+    if (!next || at < *next) next = at;
+  }
+  return next;
+}
+
+}  // namespace hornbeam
--- /dev/null
+++ b/src/policy/crest_queue.h
@@ -0,0 +1,108 @@
+// Which calls an upstream's node lets run, wait or go, at the crest of a swing.
+//
+// Load pattern: arrivals swing by half within seconds, come in clumps, and for
+// seconds exceed what the upstream can do. A plain queue then serves everyone
+// just too late. Here a call waits only as long as it can still be answered
+// within its objective; what is late already waits behind all that is not, and
+// only where nobody else would take it; what cannot be served at all is refused
+// at once.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <vector>
+
+#include "hornbeam/clock_source.h"
+#include "hornbeam/request_id.h"
+
+namespace hornbeam {
+
+// A call that asks for a slot.
+struct crest_call {
+  request_id id;
+  // Made by work that runs already and holds a slot elsewhere meanwhile.
+  bool nested = false;
+  std::uint32_t priority = 0;  // 0 is the most urgent.
+  time_point objective_at;     // An answer by then has its full value.
+  time_point deadline;
+  duration expected{};  // At the upstream, as it is now.
+  // Nobody else would take it: it may wait although it will be late.
+  bool settles = false;
+};
+
+enum class crest_verdict : std::uint8_t {
+  kAdmitted,  // Hand it to the upstream now.
+  kQueued,
+  kLate,      // Refused: not within its objective.
+  kHopeless,  // Refused: not by its deadline.
+};
+
+struct crest_decision {
+  crest_verdict verdict = crest_verdict::kAdmitted;
+  duration wait{};  // Until a slot is expected for it.
+};
+
+// Calls that no longer wait, in the order in which it was decided.
+struct crest_change {
+  std::vector<request_id> admitted;
+  std::vector<request_id> late;
+  std::vector<request_id> hopeless;
+};
+
+struct crest_options {
+  // Share of the wait that the objective leaves which may be used up by
+  // waiting; the rest is for work that takes longer than expected.
+  double wait_share = 0.6;
+};
+
+// Order: calls of running work first, since a parent holds its slot while it
+// waits; then those that can still be in time, then by priority, then by
+// objective. Not thread-safe; knows no clock but the times handed in.
+class crest_queue {
+ public:
+  explicit crest_queue(const crest_options& options) : options_(options) {}
+
+  // Calls that may run at once, and as many again for nested calls alone.
+  void SetLimits(std::uint32_t limit, std::uint32_t nested_limit);
+
+  crest_decision Offer(const crest_call& call, time_point now);
+  // A call that was admitted has ended.
+  crest_change Release(time_point now);
+  // Moves on what became late or hopeless, and fills free slots.
+  crest_change Advance(time_point now);
+  // Drops a waiting call; false when it does not wait.
+  bool Cancel(const request_id& id);
+  // Refuses everything that waits.
+  std::vector<request_id> Clear();
+
+  // When Advance is due next; nothing while no call waits.
+  [[nodiscard]] std::optional<time_point> NextChange() const;
+  [[nodiscard]] std::size_t Running() const { return running_; }
+  [[nodiscard]] std::size_t Waiting() const { return waiting_.size(); }
+  [[nodiscard]] std::uint32_t Limit() const { return limit_; }
+
+ private:
+  struct entry {
+    crest_call call;
+    time_point start_by;  // To be in time.
+    bool late = false;
+  };
+
+  [[nodiscard]] bool Before(const entry& a, const entry& b) const;
+  [[nodiscard]] bool HasSlot(const crest_call& call) const;
+  [[nodiscard]] duration ExpectedWait(const entry& offered) const;
+  [[nodiscard]] time_point StartBy(const crest_call& call,
+                                   time_point now) const;
+  void Insert(entry added);
+  void Fill(crest_change& change);
+
+  const crest_options options_;
+  std::uint32_t limit_ = 0;
+  std::uint32_t nested_limit_ = 0;
+  std::size_t running_ = 0;
+  double mean_expected_us_ = 0;  // Of the calls that were admitted.
+  std::vector<entry> waiting_;   // In order.
+};
+
+}  // namespace hornbeam
--- /dev/null
+++ b/src/policy/near_first.cc
@@ -0,0 +1,72 @@
+#include "policy/near_first.h"
+
+#include <algorithm>
+#include <vector>
+
+namespace hornbeam {
+
+namespace {
+
+duration ServiceTime(const near_candidate& candidate) {
+  return std::chrono::microseconds(candidate.report.service_time_short_us);
+}
+
+struct scored {
+  std::size_t index = 0;
+  duration wait{};
+  duration finish{};
+};
+
+}  // namespace
+
+duration ExpectedWaitAt(const near_candidate& candidate,
+                        const near_first_options& options) {
+  const load_report& report = candidate.report;
+  if (!candidate.reported || report.slot_limit == 0) return duration(0);
+  const double freshness =
+      1.0 -
+      std::min(1.0, static_cast<double>(candidate.report_age.count()) /
+                        static_cast<double>(options.report_lifetime.count()));
+  const double reported_calls = report.running_short + report.running_long +
+                                report.queued_short + report.queued_long;
+  const double calls = freshness * reported_calls + candidate.own_since + 1;
+  const double excess = calls - report.slot_limit;
+  if (excess <= 0) return duration(0);
+  return duration(static_cast<std::int64_t>(
+      excess * report.service_time_short_us / report.slot_limit));
+}
+
+std::optional<std::size_t> ChooseNearFirst(
+    std::span<const near_candidate> candidates, duration objective_left,
+    std::uint64_t tie, const near_first_options& options) {
+  if (candidates.empty()) return std::nullopt;
+  std::vector<scored> all;
+  for (std::size_t step = 0; step < candidates.size(); ++step) {
+    const std::size_t index = (step + tie) % candidates.size();
+    const near_candidate& each = candidates[index];
+    const duration wait = ExpectedWaitAt(each, options);
+    duration work = ServiceTime(each);
+    const bool is_slow = each.report.slowdown_percent > 100 &&
+                         each.report_age < options.slow_spell;
+    // A slow spell ends before the call does, mostly.
+    if (is_slow) work += options.slow_spell - each.report_age;
+    all.push_back(
+        {.index = index, .wait = wait, .finish = wait + work + each.crossing});
+  }
+  const auto least = std::ranges::min_element(all, {}, &scored::finish);
+  const auto is_near = [&](const scored& each) {
+    return candidates[each.index].near;
+  };
+  std::vector<scored> near;
+  std::ranges::copy_if(all, std::back_inserter(near), is_near);
+  if (near.empty()) return least->index;
+  const auto nearest = std::ranges::min_element(near, {}, &scored::finish);
+  const duration spare =
+      objective_left - ServiceTime(candidates[nearest->index]);
+  const auto bearable = duration(static_cast<std::int64_t>(
+      static_cast<double>(spare.count()) * options.near_wait_share));
+  const bool stays = nearest->wait <= bearable || nearest->wait == duration(0);
+  return stays ? nearest->index : least->index;
+}
+
+}  // namespace hornbeam
--- /dev/null
+++ b/src/policy/near_first.h
@@ -0,0 +1,50 @@
+// Which upstream gets a call: the nearest that has room in time.
+//
+// Load pattern: zones get uneven shares of the callers, every load report is
+// stale when it arrives, and an upstream slows down for a fraction of a second
+// without warning. Bytes that cross zones are dear, so a call crosses only when
+// waiting near by would cost it its objective.
+#pragma once
+
+#include <cstddef>
+#include <cstdint>
+#include <optional>
+#include <span>
+
+#include "hornbeam/clock_source.h"
+#include "hornbeam/load_report.h"
+
+namespace hornbeam {
+
+// What is known of one upstream.
+struct near_candidate {
+  bool near = false;  // In the caller's availability zone.
+  load_report report;
+  bool reported = false;  // Whether `report` says anything.
+  duration report_age{};
+  // Dispatched here and not ended since the report.
+  std::uint32_t own_since = 0;
+  duration crossing{};  // There and back.
+};
+
+struct near_first_options {
+  // Share of the time that the objective leaves which a call may wait near by
+  // before it crosses zones.
+  double near_wait_share = 0.4;
+  // After so long a report of load says nothing any more.
+  duration report_lifetime = std::chrono::milliseconds(1000);
+  // A slow spell lasts about so long; older figures say nothing of it.
+  duration slow_spell = std::chrono::milliseconds(150);
+};
+
+// The expected wait for a slot there.
+duration ExpectedWaitAt(const near_candidate& candidate,
+                        const near_first_options& options);
+
+// The index of the choice; nothing for no candidates. `objective_left` may be
+// negative. `tie` breaks ties, so that nodes do not all choose the same.
+std::optional<std::size_t> ChooseNearFirst(
+    std::span<const near_candidate> candidates, duration objective_left,
+    std::uint64_t tie, const near_first_options& options);
+
+}  // namespace hornbeam
--- a/src/replication/replica_core.h
+++ b/src/replication/replica_core.h
@@ -163,6 +163,9 @@
   void ConsiderMembership();
   bool DropAbandonedLearner(replica_membership& membership) const;
   bool AdmitLearner(replica_membership& membership) const;
+  bool AdmitNewName(replica_membership& membership,
+                    replica_member& learner) const;
+  [[nodiscard]] bool IsSilent(const replica_identity& id) const;
   void ChangeMembership(replica_membership membership);
   void ConsiderNewReplica(const replica_identity& replica);
   [[nodiscard]] bool IsCaughtUp(const replica_identity& id) const;
@@ -194,6 +197,7 @@
   time_point leader_heard_at_;
   cluster_discovery discovery_;
   time_point next_hello_;
+  std::string told_leader_;  // As another replica named it; may be empty.
   vote_tally votes_;
   snapshot_receiver receiver_;
 
--- a/src/replication/replica_core_election.cc
+++ b/src/replication/replica_core_election.cc
@@ -13,12 +13,15 @@
 void replica_core::SendHellos() {
   next_hello_ = now_ + options_.heartbeat_interval;
   for (const std::string& name : options_.configured_names) {
-    if (name == self_.name) continue;
+    if (name == self_.name || name == told_leader_) continue;
     Send({.name = name, .incarnation = 0}, hello_request{});
   }
+  if (told_leader_.empty() || told_leader_ == self_.name) return;
+  Send({.name = told_leader_, .incarnation = 0}, hello_request{});
 }
 
 void replica_core::TryForm() {
+  if (!options_.may_found) return;
   auto membership = discovery_.FormableMembership(now_);
   if (!membership) return;
   cluster_formation formation{.cluster_id = random_.Next() | 1U,
@@ -45,12 +48,16 @@
     if (message.cluster_id == 0) discovery_.OnEmptyReport(message.from, now_);
     return;
   }
-  Send(message.from, hello_reply{.formation = hard_state_.formation});
+  Send(message.from,
+       hello_reply{.formation = hard_state_.formation,
+                   .leader = leader_ ? leader_->name : std::string()});
   if (role_ == replica_role::kLeader) ConsiderNewReplica(message.from);
 }
 
 void replica_core::Handle(const replica_message& /*message*/,
                           const hello_reply& body) {
+  // Only the leader takes a replica in, and it need not be a configured one.
+  if (options_.wanted_voters > 0) told_leader_ = body.leader;
   if (role_ != replica_role::kUnformed || !body.formation) return;
   Bind(*body.formation);
 }
--- a/src/replication/replica_core_leader.cc
+++ b/src/replication/replica_core_leader.cc
@@ -299,10 +299,10 @@
 
 void replica_core::ConsiderNewReplica(const replica_identity& replica) {
   if (!MayChangeMembership() || replica.name == self_.name) return;
-  if (std::ranges::find(options_.configured_names, replica.name) ==
-      options_.configured_names.end()) {
-    return;
-  }
+  const bool is_configured =
+      std::ranges::find(options_.configured_names, replica.name) !=
+      options_.configured_names.end();
+  if (!is_configured && options_.wanted_voters == 0) return;
   replica_membership changed = log_.Membership();
   if (changed.Find(replica) != nullptr) return;
   // The name's present bearer is alive: two processes share a name.
@@ -329,7 +329,8 @@
   const auto is_abandoned = [&](const replica_member& learner) {
     if (learner.voter || WasHeardLately(learner.identity)) return false;
     const replica_member* voter = membership.FindVoter(learner.identity.name);
-    return voter != nullptr && WasHeardLately(voter->identity);
+    if (voter != nullptr) return WasHeardLately(voter->identity);
+    return options_.wanted_voters > 0 && IsSilent(learner.identity);
   };
   const auto found = std::ranges::find_if(membership.members, is_abandoned);
   if (found == membership.members.end()) return false;
@@ -347,13 +348,36 @@
   if (ready == membership.members.end()) return false;
   const replica_member* predecessor =
       membership.FindVoter(ready->identity.name);
-  if (predecessor == nullptr) {
-    ready->voter = true;
-    return true;
-  }
+  if (predecessor == nullptr) return AdmitNewName(membership, *ready);
   if (WasHeardLately(predecessor->identity)) return false;
   std::erase(membership.members, replica_member(*predecessor));
   return true;
 }
 
+// Fills up the wanted number, or takes the place of a voter that stays silent.
+bool replica_core::AdmitNewName(replica_membership& membership,
+                                replica_member& learner) const {
+  if (options_.wanted_voters == 0 ||
+      membership.VoterCount() < options_.wanted_voters) {
+    learner.voter = true;
+    return true;
+  }
+  const auto is_gone = [&](const replica_member& member) {
+    return member.voter && IsSilent(member.identity);
+  };
+  const auto gone = std::ranges::find_if(membership.members, is_gone);
+  if (gone == membership.members.end()) return false;
+  membership.members.erase(gone);
+  return true;
+}
+
+bool replica_core::IsSilent(const replica_identity& id) const {
+  if (id == self_) return false;
+  const auto peer = peers_.find(id);
+  const bool was_heard = peer != peers_.end() && peer->second.heard;
+  const time_point since =
+      was_heard ? std::max(peer->second.last_heard, led_since_) : led_since_;
+  return now_ - since >= options_.replace_silent_after;
+}
+
 }  // namespace hornbeam
--- a/src/replication/replica_message.h
+++ b/src/replication/replica_message.h
@@ -23,10 +23,12 @@
 // The sender's formation, or nothing when it has none either.
 struct hello_reply {
   std::optional<cluster_formation> formation;
+  // Name of the leader that the sender follows; empty while it knows none.
+  std::string leader;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(formation);
+    archive(formation, leader);
   }
 };
 
--- a/src/replication/replica_options.h
+++ b/src/replication/replica_options.h
@@ -20,6 +20,16 @@
   std::string name;
   std::vector<std::string> configured_names;
   std::string store_name;  // For the log.
+  // Whether this replica may found a cluster together with all the others that
+  // are named. Without that, one with an empty disk waits to be taken in.
+  bool may_found = true;
+  // Voters that the store should have; replicas that nobody configured join as
+  // learners, fill up this number and take the place of voters that stay
+  // silent. 0: the configured names and no others.
+  std::size_t wanted_voters = 0;
+  // A voter that is silent for so long gives its place to a learner that has
+  // caught up.
+  duration replace_silent_after = std::chrono::seconds(3);
 
   duration heartbeat_interval = std::chrono::milliseconds(50);
   // A follower that hears nothing for this long, up to twice as long by
--- /dev/null
+++ b/src/routing/routing_rules.cc
@@ -0,0 +1,84 @@
+#include "routing/routing_rules.h"
+
+#include <fmt/format.h>
+
+#include <cmath>
+#include <utility>
+
+namespace hornbeam {
+
+namespace {
+
+// An objective so far above the timeout is a mistake in the units.
+constexpr std::uint64_t kObjectiveExcessUs = 60'000'000;
+
+void CheckParts(const std::string& name, const route& checked,
+                const routing_table& table, std::vector<std::string>& faults) {
+  double total = 0;
+  for (const weighted_service& part : checked.parts) {
+    if (!table.services.contains(part.service)) {
+      faults.push_back(fmt::format("route {}: service {} is not defined", name,
+                                   part.service));
+    }
+    if (!(part.weight >= 0) || !std::isfinite(part.weight)) {
+      faults.push_back(fmt::format("route {}: the weight of {} is below 0",
+                                   name, part.service));
+    }
+    total += part.weight;
+  }
+  if (!(total > 0)) {
+    faults.push_back(fmt::format("route {}: no part has a weight", name));
+  }
+}
+
+void CheckRoute(const std::string& name, const route& checked,
+                const routing_table& table, std::vector<std::string>& faults) {
+  CheckParts(name, checked, table, faults);
+  const bool is_slashed = !checked.path_prefix.empty() &&
+                          checked.path_prefix.front() == '/' &&
+                          checked.path_prefix.back() == '/';
+  if (!is_slashed) {
+    faults.push_back(fmt::format(
+        "route {}: the prefix does not begin and end with a slash", name));
+  }
+  if (checked.most_attempts == 0) {
+    faults.push_back(fmt::format("route {}: no attempts are allowed", name));
+  }
+  if (checked.timeout_us == 0) {
+    faults.push_back(fmt::format("route {}: the timeout is 0", name));
+  }
+  if (checked.objective_us >= checked.timeout_us + kObjectiveExcessUs) {
+    faults.push_back(fmt::format(
+        "route {}: the objective is a minute or more above the timeout", name));
+  }
+}
+
+}  // namespace
+
+std::vector<std::string> FindRoutingFaults(const routing_table& table) {
+  std::vector<std::string> faults;
+  for (const auto& [name, checked] : table.routes) {
+    CheckRoute(name, checked, table, faults);
+  }
+  return faults;
+}
+
+result<routing_table, std::vector<std::string>> ApplyRoutingChange(
+    const routing_table& table, const routing_change& change) {
+  routing_table next;
+  if (!change.whole) next = table;
+  if (change.whole) next.unread = change.unread;
+  next.version = change.version;
+  for (const std::string& name : change.removed_routes) next.routes.erase(name);
+  for (const std::string& name : change.removed_services) {
+    next.services.erase(name);
+  }
+  for (const auto& [name, item] : change.routes) next.routes[name] = item;
+  for (const auto& [name, item] : change.services) next.services[name] = item;
+  if (change.limits) next.limits = *change.limits;
+  auto faults = FindRoutingFaults(next);
+  if (!faults.empty()) return faults;
+  return next;
+}
+
+}  // namespace hornbeam
--- /dev/null
+++ b/src/routing/routing_store.cc
@@ -0,0 +1,78 @@
+#include "routing/routing_store.h"
+
+#include <algorithm>
+#include <cereal/types/deque.hpp>
+#include <cereal/types/map.hpp>
+#include <utility>
+
+#include "base/byte_archive.h"
+#include "routing/routing_codec.h"
+#include "routing/routing_rules.h"
+
+namespace hornbeam {
+
+struct routing_store::stored_state {
+  routing_table table;
+  std::deque<request_id> accepted;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(table, accepted);
+  }
+};
+
+std::string routing_store::Apply(const committed_entry& entry) {
+  const auto change = DecodeRoutingChange(entry.command);
+  if (!change) {
+    return EncodeRoutingReply({.current_version = table_.version,
+                               .faults = {"the change cannot be read"}});
+  }
+  return EncodeRoutingReply(Change(*change));
+}
+
+routing_reply routing_store::Change(const routing_change& change) {
+  routing_reply reply{.current_version = table_.version};
+  if (std::ranges::find(accepted_, change.change_id) != accepted_.end()) {
+    reply.verdict = routing_verdict::kAccepted;
+    return reply;
+  }
+  if (change.base_version != table_.version) {
+    reply.verdict = routing_verdict::kStale;
+    return reply;
+  }
+  if (change.version <= table_.version) {
+    reply.faults = {"the version is not above the current one"};
+    return reply;
+  }
+  auto next = ApplyRoutingChange(table_, change);
+  if (!next) {
+    reply.faults = std::move(next).error();
+    return reply;
+  }
+  table_ = std::move(next).value();
+  accepted_.push_back(change.change_id);
+  if (accepted_.size() > kKeptChanges) accepted_.pop_front();
+  reply.verdict = routing_verdict::kAccepted;
+  reply.current_version = table_.version;
+  return reply;
+}
+
+std::string routing_store::Query(std::string_view query) const {
+  const auto asked = DecodeRoutingQuery(query);
+  if (asked == routing_query::kTable) return EncodeRoutingTable(table_);
+  return EncodeRoutingVersion(table_.version);
+}
+
+std::string routing_store::TakeSnapshot() const {
+  return EncodeBytes(stored_state{.table = table_, .accepted = accepted_});
+}
+
+bool routing_store::RestoreSnapshot(std::string_view snapshot) {
+  auto state = DecodeBytes<stored_state>(snapshot);
+  if (!state) return false;
+  table_ = std::move(state.value().table);
+  accepted_ = std::move(state.value().accepted);
+  return true;
+}
+
+}  // namespace hornbeam
--- a/src/wire/call_messages.h
+++ b/src/wire/call_messages.h
@@ -41,11 +41,21 @@
   std::uint64_t wait_limit_us = 0;
   call_class expected = call_class::kShort;
   std::optional<claimed_attempt> attempt;  // Non-idempotent calls only.
+  // Calls of a routing table only.
+  std::string instance;  // The start of the upstream that it is meant for.
+  std::string route;     // Name in the routing table.
+  std::uint32_t priority = 0;     // 0 is the most urgent.
+  std::int64_t objective_us = 0;  // What is left of the latency objective.
+  // Made by work that runs at an upstream and waits for it.
+  bool nested = false;
+  // The ingress knows no better place: a call that will be late may wait too.
+  bool settles = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id, service, method, target, headers, body_size, deadline_us,
-            incarnation, wait_limit_us, expected, attempt);
+            incarnation, wait_limit_us, expected, attempt, instance, route,
+            priority, objective_us, settles);
   }
 };
 
--- a/src/wire/control_client.cc
+++ b/src/wire/control_client.cc
@@ -20,6 +20,8 @@
 constexpr duration kRoundDelay = std::chrono::milliseconds(25);
 // A control VM that did not reply is avoided for so long.
 constexpr duration kSuspectTime = std::chrono::seconds(5);
+// Control VMs that are kept in mind, with those that were replaced.
+constexpr std::size_t kMostChannels = 64;
 // One control VM has so long before another is asked.
 constexpr duration kAttemptLimit = std::chrono::milliseconds(1500);
 
@@ -124,28 +126,47 @@
     control_observer* observer, duration silence_timeout) {
   assert(!addresses.empty());
   auto client = std::unique_ptr<control_client>(
-      new control_client(clock, first_home % addresses.size(), observer));
-  std::ranges::transform(addresses, std::back_inserter(client->channels_),
-                         [&](const endpoint& address) {
-                           return std::make_unique<channel>(loop, clock, self,
-                                                            address, *client,
-                                                            silence_timeout);
-                         });
+      new control_client(loop, clock, self, first_home % addresses.size(),
+                         observer, silence_timeout));
+  for (const endpoint& address : addresses) client->AddChannel(address);
   return client;
 }
 
-control_client::control_client(const clock_source& clock,
-                               std::size_t first_home,
-                               control_observer* observer)
-    : clock_(clock),
+control_client::control_client(io_loop& loop, const clock_source& clock,
+                               process_identity self, std::size_t first_home,
+                               control_observer* observer,
+                               duration silence_timeout)
+    : loop_(loop),
+      clock_(clock),
+      self_(std::move(self)),
       observer_(observer),
+      silence_timeout_(silence_timeout),
       home_(first_home),
       settings_leader_(first_home),
       ledger_leader_(first_home) {}
 
+void control_client::AddChannel(const endpoint& address) {
+  channels_.push_back(std::make_unique<channel>(loop_, clock_, self_, address,
+                                                *this, silence_timeout_));
+  if (fibers_ != nullptr) channels_.back()->SetFibers(*fibers_);
+}
+
+bool control_client::AddAddresses(std::span<const endpoint> addresses) {
+  const std::size_t before = channels_.size();
+  for (const endpoint& address : addresses) {
+    const bool is_known =
+        std::ranges::any_of(channels_, [&address](const auto& each) {
+          return each->Link().Peer() == address;
+        });
+    if (!is_known && channels_.size() < kMostChannels) AddChannel(address);
+  }
+  return channels_.size() > before;
+}
+
 control_client::~control_client() = default;
 
 void control_client::Start(fiber_group& fibers) {
+  fibers_ = &fibers;
   for (const auto& each : channels_) each->SetFibers(fibers);
   if (observer_ != nullptr) channels_[home_]->EnsureStarted(fibers);
 }
--- a/src/wire/control_client.h
+++ b/src/wire/control_client.h
@@ -54,6 +54,10 @@
       duration silence_timeout = kDefaultSilenceTimeout);
   ~control_client() override;
 
+  // Adds control VMs that are not known yet; true when there were any. Those
+  // that were known stay: they may come back.
+  bool AddAddresses(std::span<const endpoint> addresses);
+
   // Connects on fibers of `fibers` until Stop.
   void Start(fiber_group& fibers);
   void Stop();
@@ -79,8 +83,10 @@
   class channel;
   struct attempt;
 
-  control_client(const clock_source& clock, std::size_t first_home,
-                 control_observer* observer);
+  control_client(io_loop& loop, const clock_source& clock,
+                 process_identity self, std::size_t first_home,
+                 control_observer* observer, duration silence_timeout);
+  void AddChannel(const endpoint& address);
 
   result<std::string, store_error> Request(store_id store,
                                            store_operation operation,
@@ -96,8 +102,12 @@
   void HandleDown(const channel& source);
   void HandlePush(const channel& source, message content);
 
+  io_loop& loop_;
   const clock_source& clock_;
+  const process_identity self_;
   control_observer* observer_;
+  const duration silence_timeout_;
+  fiber_group* fibers_ = nullptr;
   std::vector<std::unique_ptr<channel>> channels_;
   std::size_t home_;
   // Indexes into channels_ of the store leaders, as far as known.
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -20,13 +20,15 @@
   std::string service;  // Empty while no upstream has announced itself.
   std::uint32_t slots = 0;
   bool draining = false;
+  // Which start of the upstream it is; empty where upstreams have no such id.
+  std::string instance;
 
   bool operator==(const upstream_lease&) const = default;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(node, incarnation, sequence, peers_address, region,
-            availability_zone, service, slots, draining);
+            availability_zone, service, slots, draining, instance);
   }
 };
 
@@ -165,6 +167,37 @@
   }
 };
 
+// Subscribes the connection to the routing table.
+struct routing_watch {
+  std::uint64_t known_version = 0;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(known_version);
+  }
+};
+
+// A newer routing table, as src/routing encodes it.
+struct routing_update {
+  std::uint64_t version = 0;
+  std::string table;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(version, table);
+  }
+};
+
+// The control VMs as they are now; sent to whoever watches the routing table.
+struct control_list {
+  std::vector<std::string> addresses;  // "ip:port" of their peers listeners.
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(addresses);
+  }
+};
+
 // A message of the replicated log of one store.
 struct replica_envelope {
   store_id store = store_id::kSettings;
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -18,6 +18,7 @@
                  attempt_fence, load_probe, load_probe_reply, lease_renewal,
                  lease_granted, lease_batch, lease_end, service_watch,
                  membership_update, settings_update, store_request, store_reply,
-                 replica_envelope, status_request, status_reply>;
+                 replica_envelope, status_request, status_reply, routing_watch,
+                 routing_update, control_list>;
 
 }  // namespace hornbeam
