No work begins in a slow spell of its VM

Ruled out: slowness by progress during the run (the work integrated over the stated speed is not constant).

Change: policy/spell_watch; the crest queue is shut in a spell and until the present speed is known, and the upstream's health is looked at while calls wait.

--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -14,6 +14,7 @@
 #include "io/fiber_signal.h"
 #include "io/io_loop.h"
 #include "policy/crest_queue.h"
+#include "policy/spell_watch.h"
 
 namespace hornbeam {
 
@@ -28,8 +29,12 @@
 constexpr double kFirstGuess = 0.4;
 // The queue lets go of a call by its deadline; this covers late wake-ups.
 constexpr duration kQueueGrace = std::chrono::milliseconds(50);
-// A stated slowdown says nothing any more after this.
-constexpr duration kLoadLifetime = std::chrono::milliseconds(300);
+// Calls whose time is below this share of the mean are brief.
+constexpr double kBriefShare = 0.5;
+// A look at the upstream's load takes about so long.
+constexpr duration kLookTime = std::chrono::milliseconds(1);
+// Between two looks in a slow spell while calls wait for its end.
+constexpr duration kSpellLook = std::chrono::milliseconds(15);
 constexpr std::uint32_t kUsualPercent = 100;
 // Waiting calls are moved on in steps of this length at least.
 constexpr duration kAdvanceStep = std::chrono::milliseconds(2);
@@ -55,23 +60,36 @@
   std::unordered_map<request_id, fiber_signal<wait_end>*> waiting;
   std::map<std::string, double, std::less<>> usual_us;  // By route.
   double mean_us = 0;                                   // Over all routes.
-  std::uint32_t slowdown_percent = kUsualPercent;
-  time_point load_at;
+  spell_watch speed{spell_options{}};
+  bool states_speed = false;  // Whether the upstream tells its load at all.
   bool drained = false;
   bool reachable = true;
 
-  [[nodiscard]] duration Expected(const call_start& start) const {
+  // At the speed that work beginning now would have.
+  [[nodiscard]] duration Expected(const call_start& start,
+                                  time_point now) const {
     const auto found = usual_us.find(start.route);
-    if (found != usual_us.end()) {
-      return duration(static_cast<std::int64_t>(found->second));
+    if (found == usual_us.end()) {
+      const auto objective = std::max<std::int64_t>(start.objective_us, 0);
+      return duration(static_cast<std::int64_t>(
+          kFirstGuess * static_cast<double>(objective)));
     }
-    const auto objective = std::max<std::int64_t>(start.objective_us, 0);
-    return duration(static_cast<std::int64_t>(kFirstGuess *
-                                              static_cast<double>(objective)));
+    const bool waits = speed.HoldsBack(now);
+    const double slowdown =
+        waits ? 1.0 : static_cast<double>(speed.Percent()) / kUsualPercent;
+    return duration(static_cast<std::int64_t>(found->second * slowdown));
   }
 
-  void RecordTime(const std::string& route, duration ran_for) {
-    const auto time = static_cast<double>(ran_for.count());
+  [[nodiscard]] bool IsBrief(duration expected) const {
+    return mean_us > 0 &&
+           static_cast<double>(expected.count()) < kBriefShare * mean_us;
+  }
+
+  // `percent`: the slowdown that was stated when the work began.
+  void RecordTime(const std::string& route, duration ran_for,
+                  std::uint32_t percent) {
+    const auto time = static_cast<double>(ran_for.count()) * kUsualPercent /
+                      std::max(percent, kUsualPercent);
     const auto [entry, is_new] = usual_us.try_emplace(route, time);
     if (!is_new) entry->second += kTimeWeight * (time - entry->second);
     mean_us += mean_us > 0 ? kTimeWeight * (time - mean_us) : time;
@@ -208,14 +226,16 @@
 served_call instance_server::ServeAt(const std::shared_ptr<life>& at,
                                      inbound_call& call) {
   const time_point now = clock_.Now();
+  const duration expected = at->Expected(call.start, now);
   const crest_call asked{
       .id = call.start.id,
-      .nested = call.start.nested,
+      .brief = at->IsBrief(expected),
       .priority = call.start.priority,
       .objective_at = now + duration(call.start.objective_us),
       .deadline = call.deadline,
-      .expected = at->Expected(call.start),
+      .expected = expected,
       .settles = call.start.settles};
+  FollowSpeed(*at, now);
   const crest_decision decision = at->queue.Offer(asked, now);
   switch (decision.verdict) {
     case crest_verdict::kAdmitted:
@@ -257,6 +277,7 @@
 served_call instance_server::RunAt(const std::shared_ptr<life>& at,
                                    inbound_call& call) {
   const time_point started = clock_.Now();
+  const std::uint32_t percent = at->speed.Percent();
   http_request request{.method = call.start.method,
                        .target = call.start.target,
                        .headers = call.start.headers,
@@ -265,6 +286,12 @@
                        call.deadline - started);
   auto answer = at->client->Call(request, call.deadline, call.cancel);
   const duration ran_for = clock_.Now() - started;
+  if (answer) {
+    const auto stated =
+        codec_.ReadAnswer(answer.value().status, answer.value().headers).load;
+    if (stated) at->speed.Observe(stated->slowdown_percent, clock_.Now());
+  }
+  FollowSpeed(*at, clock_.Now());
   at->Apply(at->queue.Release(clock_.Now()));
   if (!answer) {
     switch (answer.error()) {
@@ -286,7 +313,6 @@
   }
   http_response& said = answer.value();
   const upstream_answer read = codec_.ReadAnswer(said.status, said.headers);
-  if (read.load) TakeLoad(*at, *read.load);
   if (!read.ran) return MakeEnd(outcome::kNotRun, end_reason::kUpstreamRefused);
   constexpr unsigned kFirstFailure = 300;
   const bool succeeded = said.status < kFirstFailure;
@@ -294,7 +320,7 @@
   if (succeeded && !read.genuine) {
     return MakeEnd(outcome::kUnknown, end_reason::kUpstreamLost);
   }
-  if (succeeded) at->RecordTime(call.start.route, ran_for);
+  if (succeeded) at->RecordTime(call.start.route, ran_for, percent);
   served_call served = MakeEnd(outcome::kAnswered, end_reason::kNone);
   served.end.status = said.status;
   served.end.headers = std::move(said.headers);
@@ -303,9 +329,16 @@
   return served;
 }
 
-void instance_server::TakeLoad(life& at, const upstream_load& load) {
-  at.slowdown_percent = load.slowdown_percent;
-  at.load_at = clock_.Now();
+// Shuts the queue in a slow spell, and until the present speed is known.
+void instance_server::FollowSpeed(life& at, time_point now) {
+  if (!at.states_speed) return;
+  if (at.speed.HoldsBack(now)) {
+    at.queue.Shut(at.speed.Remainder(now));
+  } else if (!at.speed.IsFresh(now)) {
+    at.queue.Shut(kLookTime);
+  } else if (at.queue.IsShut()) {
+    at.Apply(at.queue.Open(now));
+  }
 }
 
 // Calls of routes are claimed nowhere.
@@ -327,20 +360,30 @@
   report.running_short = static_cast<std::uint32_t>(life_->queue.Running());
   report.queued_short = static_cast<std::uint32_t>(life_->queue.Waiting());
   report.service_time_short_us = static_cast<std::uint32_t>(life_->mean_us);
-  const bool is_fresh = clock_.Now() - life_->load_at < kLoadLifetime;
-  report.slowdown_percent = is_fresh ? life_->slowdown_percent : kUsualPercent;
+  report.slowdown_percent = life_->speed.Percent();
   return report;
 }
 
 // ---- Looks at the upstream ----
 
+// While calls wait for the upstream's speed it is looked at often, else rarely.
 void instance_server::HealthLoop() {
   while (!stopped_) {
     const auto at = life_;
     if (at && !at->drained) CheckHealth(at);
+    const time_point looked_at = clock_.Now();
     std::unique_lock lock(mutex_);
-    changed_.wait_until(lock, clock_.Now() + options_.health_interval,
-                        [this] { return stopped_; });
+    const auto is_wanted = [&] {
+      const auto present = life_;
+      return stopped_ || (present && present->queue.IsShut() &&
+                          present->queue.Waiting() > 0);
+    };
+    changed_.wait_until(lock, looked_at + options_.health_interval, is_wanted);
+    lock.unlock();
+    const auto present = life_;
+    if (stopped_ || !present || !present->speed.HoldsBack(clock_.Now()))
+      continue;
+    io_loop::SleepUntil(looked_at + kSpellLook);
   }
 }
 
@@ -356,9 +399,16 @@
                {{"instance", at->announced.instance},
                 {"state", at->reachable ? "reachable" : "unreachable"}});
   }
-  if (!answer) return;
-  const health_answer read = codec_.ReadHealth(answer.value());
-  if (read.load) TakeLoad(*at, *read.load);
+  std::optional<upstream_load> load;
+  if (answer) load = codec_.ReadHealth(answer.value()).load;
+  const time_point now = clock_.Now();
+  at->states_speed = load.has_value();
+  if (load) at->speed.Observe(load->slowdown_percent, now);
+  if (load) {
+    FollowSpeed(*at, now);
+  } else if (at->queue.IsShut()) {
+    at->Apply(at->queue.Open(now));
+  }
 }
 
 // Moves waiting calls on when their time comes.
--- a/src/controllers/routed_ingress.cc
+++ b/src/controllers/routed_ingress.cc
@@ -76,12 +76,10 @@
   time_point started;
   time_point deadline;
   time_point objective_at;
-  bool nested = false;
   std::vector<upstream_id> tried;
   std::vector<upstream_id> refused_late;
   std::uint32_t reached = 0;   // Upstreams that it may have run at.
   std::uint32_t arrivals = 0;  // Dispatches that got to an upstream.
-  bool settles = false;
 };
 
 struct routed_ingress::attempt_choice {
@@ -304,7 +302,6 @@
                          .route = call.route_name,
                          .priority = call.definition->priority,
                          .objective_us = (call.objective_at - now).count(),
-                         .nested = call.nested,
                          .settles = choice.settles};
   if (fleet_member* member = directory_.Find(call.service, choice.upstream)) {
     ++member->own_since;
--- a/src/policy/crest_queue.cc
+++ b/src/policy/crest_queue.cc
@@ -14,21 +14,30 @@
 
 }  // namespace
 
-void crest_queue::SetLimits(std::uint32_t limit, std::uint32_t nested_limit) {
+void crest_queue::SetLimits(std::uint32_t limit, std::uint32_t brief_limit) {
   limit_ = limit;
-  nested_limit_ = std::max(limit, nested_limit);
+  brief_limit_ = std::max(limit, brief_limit);
+}
+
+void crest_queue::Shut(duration reopens_in) {
+  shut_ = true;
+  reopens_in_ = reopens_in;
+}
+
+crest_change crest_queue::Open(time_point now) {
+  shut_ = false;
+  return Advance(now);
 }
 
 bool crest_queue::Before(const entry& a, const entry& b) const {
   const auto key = [](const entry& each) {
-    return std::tuple(!each.call.nested, each.late, each.call.priority,
-                      each.call.objective_at);
+    return std::tuple(each.late, each.call.priority, each.call.objective_at);
   };
   return key(a) < key(b);
 }
 
 bool crest_queue::HasSlot(const crest_call& call) const {
-  return running_ < (call.nested ? nested_limit_ : limit_);
+  return !shut_ && running_ < (call.brief ? brief_limit_ : limit_);
 }
 
 // Slots become free at the rate at which calls of the usual length end.
@@ -43,7 +52,8 @@
       mean_expected_us_ > 0
           ? mean_expected_us_
           : static_cast<double>(offered.call.expected.count());
-  return duration(static_cast<std::int64_t>(calls * mean_us / limit_));
+  const duration opens = shut_ ? reopens_in_ : duration(0);
+  return opens + duration(static_cast<std::int64_t>(calls * mean_us / limit_));
 }
 
 time_point crest_queue::StartBy(const crest_call& call, time_point now) const {
@@ -120,9 +130,14 @@
 }
 
 void crest_queue::Fill(crest_change& change) {
-  while (!waiting_.empty() && HasSlot(waiting_.front().call)) {
-    const entry next = std::move(waiting_.front());
-    waiting_.erase(waiting_.begin());
+  const auto has_slot = [this](const entry& each) {
+    return HasSlot(each.call);
+  };
+  while (true) {
+    const auto found = std::ranges::find_if(waiting_, has_slot);
+    if (found == waiting_.end()) return;
+    const entry next = std::move(*found);
+    waiting_.erase(found);
     ++running_;
     const auto expected = static_cast<double>(next.call.expected.count());
     mean_expected_us_ += kMeanWeight * (expected - mean_expected_us_);
--- a/src/policy/crest_queue.h
+++ b/src/policy/crest_queue.h
@@ -21,8 +21,8 @@
 // A call that asks for a slot.
 struct crest_call {
   request_id id;
-  // Made by work that runs already and holds a slot elsewhere meanwhile.
-  bool nested = false;
+  // Far shorter than the usual call here: never waits for a slot behind those.
+  bool brief = false;
   std::uint32_t priority = 0;  // 0 is the most urgent.
   time_point objective_at;     // An answer by then has its full value.
   time_point deadline;
@@ -56,15 +56,21 @@
   double wait_share = 0.6;
 };
 
-// Order: calls of running work first, since a parent holds its slot while it
-// waits; then those that can still be in time, then by priority, then by
-// objective. Not thread-safe; knows no clock but the times handed in.
+// Order: those that can still be in time, then by priority, then by objective,
+// so that brief calls, which other work waits for, come first among equals. Not
+// thread-safe; knows no clock but the times handed in.
 class crest_queue {
  public:
   explicit crest_queue(const crest_options& options) : options_(options) {}
 
-  // Calls that may run at once, and as many again for nested calls alone.
-  void SetLimits(std::uint32_t limit, std::uint32_t nested_limit);
+  // Calls that may run at once, and those that may when brief ones are among
+  // them.
+  void SetLimits(std::uint32_t limit, std::uint32_t brief_limit);
+  // Nothing begins while the queue is shut; it is expected to open in
+  // `reopens_in`.
+  void Shut(duration reopens_in);
+  crest_change Open(time_point now);
+  [[nodiscard]] bool IsShut() const { return shut_; }
 
   crest_decision Offer(const crest_call& call, time_point now);
   // A call that was admitted has ended.
@@ -99,7 +105,9 @@
 
   const crest_options options_;
   std::uint32_t limit_ = 0;
-  std::uint32_t nested_limit_ = 0;
+  std::uint32_t brief_limit_ = 0;
+  bool shut_ = false;
+  duration reopens_in_{};
   std::size_t running_ = 0;
   double mean_expected_us_ = 0;  // Of the calls that were admitted.
   std::vector<entry> waiting_;   // In order.
--- /dev/null
+++ b/src/policy/spell_watch.cc
@@ -0,0 +1,51 @@
+#include "policy/spell_watch.h"
+
+#include <algorithm>
+
+namespace hornbeam {
+
+namespace {
+
+// Weight of one spell in their mean length.
+constexpr double kSpellWeight = 0.1;
+// A spell that has outlasted the mean is expected to last this part of what it
+// has lasted so far.
+constexpr double kOverdueShare = 0.5;
+
+}  // namespace
+
+spell_watch::spell_watch(const spell_options& options)
+    : options_(options),
+      mean_spell_us_(static_cast<double>(options.first_guess.count())) {}
+
+void spell_watch::Observe(std::uint32_t slowdown_percent, time_point now) {
+  percent_ = slowdown_percent;
+  observed_at_ = now;
+  const bool is_slow = slowdown_percent > options_.slow_percent;
+  if (is_slow && !slow_since_) slow_since_ = now;
+  if (is_slow || !slow_since_) return;
+  const duration lasted = now - *slow_since_;
+  slow_since_.reset();
+  if (lasted > options_.longest_spell) return;
+  mean_spell_us_ +=
+      kSpellWeight * (static_cast<double>(lasted.count()) - mean_spell_us_);
+}
+
+bool spell_watch::IsFresh(time_point now) const {
+  return observed_at_ && now - *observed_at_ <= options_.freshness;
+}
+
+bool spell_watch::HoldsBack(time_point now) const {
+  return slow_since_ && now - *slow_since_ <= options_.longest_spell;
+}
+
+duration spell_watch::Remainder(time_point now) const {
+  if (!HoldsBack(now)) return duration(0);
+  // Spells end by chance, not by age.
+  const auto mean = static_cast<double>(mean_spell_us_);
+  const auto lasted = static_cast<double>((now - *slow_since_).count());
+  const double left = std::max(mean / 2, kOverdueShare * lasted);
+  return duration(static_cast<std::int64_t>(left));
+}
+
+}  // namespace hornbeam
--- a/src/wire/call_messages.h
+++ b/src/wire/call_messages.h
@@ -46,8 +46,6 @@
   std::string route;     // Name in the routing table.
   std::uint32_t priority = 0;     // 0 is the most urgent.
   std::int64_t objective_us = 0;  // What is left of the latency objective.
-  // Made by work that runs at an upstream and waits for it.
-  bool nested = false;
   // The ingress knows no better place: a call that will be late may wait too.
   bool settles = false;
 
