A restarted node is taken in at once, whatever its incarnation

Cause: incarnations were random numbers, and the lease table takes the higher one: every second restarted node stayed unknown to the others until its old lease was forgotten, two minutes later. Ruled out: the announcement (taken by the node itself), the queue.

Change: incarnations grow with the time of day; what a node says itself about another of its lives always counts.

Test failing before: lease_table_test/a_restarted_node_is_taken_whatever_its_number.

--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -24,8 +24,6 @@
 // A node that follows more names than this is told of the newest only.
 constexpr std::size_t kMostWatches = 4096;
 constexpr duration kPushInterval = std::chrono::milliseconds(50);
-// Without a known leader for so long a control VM counts as cut off.
-constexpr duration kIsolationLimit = std::chrono::seconds(2);
 // A round of pushes that took so long means that the process was stopped.
 constexpr duration kLongestRound = std::chrono::seconds(1);
 // After its start a control VM may not have heard of all leases for so many
@@ -206,15 +204,23 @@
   last_round_at_ = now;
   if (KnowsLeaders()) connected_at_ = now;
   const bool was_isolated = isolated_;
-  isolated_ = now - connected_at_ >= kIsolationLimit;
+  isolated_ = now - connected_at_ >= options_.isolation_limit;
   if (isolated_ != was_isolated) {
     log_.Write(event_id::kControlIsolated, {{"isolated", isolated_}});
+    if (isolated_) TurnNodesAway();
   }
   if (!was_stopped && (isolated_ || !was_isolated)) return;
   leases_.RefreshAll(now);
   started_at_ = now;
 }
 
+// Nodes that follow the routing table must not be left with an old version.
+void control_service::TurnNodesAway() {
+  for (session* each : sessions_) {
+    if (each->WatchesRouting()) each->Close();
+  }
+}
+
 void control_service::PassOnLeases(time_point now) {
   if (now - passed_on_at_ < options_.lease_interval) return;
   auto copies = leases_.RenewedSince(passed_on_at_, now);
--- a/src/controllers/control_service.h
+++ b/src/controllers/control_service.h
@@ -39,6 +39,8 @@
 struct control_service_options {
   duration lease_duration = std::chrono::milliseconds(4000);
   duration lease_interval = std::chrono::milliseconds(1000);
+  // Without a known leader for so long a control VM counts as cut off.
+  duration isolation_limit = std::chrono::seconds(2);
 };
 
 // Accepts frames, keeps the leases, and pushes memberships and settings to the
@@ -82,6 +84,7 @@
   void PushRouting();
   void HandleRoutingWatch(session& watcher, const routing_watch& watch);
   void FollowMembers();
+  void TurnNodesAway();
   void PushChange(const change_record& change);
   void PushMemberships();
   [[nodiscard]] std::uint64_t StoreRevision() const;
--- a/src/controllers/fleet_directory.cc
+++ b/src/controllers/fleet_directory.cc
@@ -175,7 +175,12 @@
         members, std::back_inserter(next),
         [&](const fleet_member& each) { return !is_replaced(each); });
   }
+  const auto same = [](const fleet_member& a, const fleet_member& b) {
+    return a.lease == b.lease;
+  };
+  const bool changed = !std::ranges::equal(members, next, same);
   members = std::move(next);
+  if (!changed) return;
   log_.Write(event_id::kMembershipChanged,
              {{"service", update.service}, {"members", members.size()}});
 }
--- a/src/controllers/lease_table.cc
+++ b/src/controllers/lease_table.cc
@@ -28,12 +28,14 @@
                         duration age, time_point now) {
   const auto [entry, is_new] = records_.try_emplace(renewal.lease.node);
   lease_record& record = entry->second;
-  const auto present = Order(record.renewal.lease);
-  const auto offered = Order(renewal.lease);
-  if (!is_new && offered < present) return false;
-  // An ended incarnation does not come back by a late copy.
   const bool same_life =
       record.renewal.lease.incarnation == renewal.lease.incarnation;
+  // A node that speaks for itself is alive, whatever number it has: it may have
+  // restarted after its time of day was set back.
+  const bool speaks_itself = source == lease_source::kNode && !same_life;
+  const bool is_older = Order(renewal.lease) < Order(record.renewal.lease);
+  if (!is_new && is_older && !speaks_itself) return false;
+  // An ended incarnation does not come back by a late copy.
   const time_point renewed_at = now - age;
   if (!is_new && !record.live && same_life && renewed_at <= record.renewed_at) {
     return false;
--- a/src/controllers/lease_table.h
+++ b/src/controllers/lease_table.h
@@ -21,7 +21,8 @@
 
 // A pure table: no I/O, and time is handed in. State that is not replicated
 // through the log: leases are renewed every second anyway. The newest
-// (incarnation, sequence) of a node wins, wherever it comes from.
+// (incarnation, sequence) of a node wins among copies; what a node says itself
+// about another of its lives always does.
 class lease_table {
  public:
   explicit lease_table(duration lease_duration);
--- a/src/daemon/control_daemon.cc
+++ b/src/daemon/control_daemon.cc
@@ -10,6 +10,7 @@
 #include "base/event_log.h"
 #include "base/gauge.h"
 #include "base/metrics_registry.h"
+#include "base/process_incarnation.h"
 #include "base/process_metrics.h"
 #include "base/seeded_random_source.h"
 #include "base/system_clock_source.h"
@@ -54,7 +55,7 @@
         log_(log),
         codec_(codec),
         random_(seeded_random_source::MakeSystemSeed()),
-        self_{settings.process.name, random_.Next() | 1U},
+        self_{settings.process.name, MakeIncarnation(clock_, random_)},
         metrics_(clock_),
         process_metrics_(metrics_),
         signals_(loop_),
@@ -76,7 +77,9 @@
         mesh_,
         control_service_options{
             .lease_duration = settings_.limits.lease_duration,
-            .lease_interval = settings_.limits.lease_interval});
+            .lease_interval = settings_.limits.lease_interval,
+            .isolation_limit =
+                std::chrono::milliseconds(settings_.control.isolation_limit)});
     if (!Listen()) return kExitBindFailed;
     mesh_.Start(fibers_);
     service_->Start(fibers_);
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -58,6 +58,7 @@
   std::uint32_t tolerated_losses = 0;
   std::chrono::milliseconds heartbeat_interval{};
   std::chrono::milliseconds election_timeout{};
+  std::chrono::milliseconds isolation_limit{};
 };
 
 // One line of section [teams].
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -7,6 +7,7 @@
 #include "base/event_log.h"
 #include "base/gauge.h"
 #include "base/metrics_registry.h"
+#include "base/process_incarnation.h"
 #include "base/process_metrics.h"
 #include "base/seeded_random_source.h"
 #include "base/system_clock_source.h"
@@ -78,7 +79,7 @@
       : settings_(settings),
         log_(log),
         random_(seeded_random_source::MakeSystemSeed()),
-        self_{settings.process.name, random_.Next() | 1U},
+        self_{settings.process.name, MakeIncarnation(clock_, random_)},
         metrics_(clock_),
         process_metrics_(metrics_),
         signals_(loop_),
--- a/src/daemon/routed_node_daemon.cc
+++ b/src/daemon/routed_node_daemon.cc
@@ -7,6 +7,7 @@
 
 #include "base/event_log.h"
 #include "base/metrics_registry.h"
+#include "base/process_incarnation.h"
 #include "base/process_metrics.h"
 #include "base/seeded_random_source.h"
 #include "base/system_clock_source.h"
@@ -84,7 +85,7 @@
         settings_path_(std::move(settings_path)),
         log_(log),
         random_(seeded_random_source::MakeSystemSeed()),
-        self_{settings.process.name, random_.Next() | 1U},
+        self_{settings.process.name, MakeIncarnation(clock_, random_)},
         metrics_(clock_),
         process_metrics_(metrics_),
         signals_(loop_),
--- a/src/daemon/setting_catalogue.cc
+++ b/src/daemon/setting_catalogue.cc
@@ -121,6 +121,12 @@
      [](text, text value, daemon_settings& settings) {
        return StoreNumber(value, settings.control.election_timeout);
      }},
+    {"control", "isolation_limit_ms", kMilliseconds, kControl, 50, 60 * kSecond,
+     "2000",
+     "A control VM that has known no leader for so long is no node's home.",
+     [](text, text value, daemon_settings& settings) {
+       return StoreNumber(value, settings.control.isolation_limit);
+     }},
     {"storage", "data_folder", kPath, kControl, 0, 0, kRequired,
      "Folder on the VM's disk for everything that must last.",
      [](text, text value, daemon_settings& settings) {
--- a/tests/lease_table_test.cc
+++ b/tests/lease_table_test.cc
@@ -56,6 +56,13 @@
   BOOST_TEST(Has(table, 6));
 }
 
+BOOST_AUTO_TEST_CASE(a_restarted_node_is_taken_whatever_its_number) {
+  lease_table table = MakeTable();
+  BOOST_TEST(table.Renew(MakeRenewal("sfax-a-1", 4), lease_source::kNode,
+                         duration(0), kStart + kLease / 2));
+  BOOST_TEST(Has(table, 4));
+}
+
 BOOST_AUTO_TEST_CASE(silence_ends_a_lease_and_watchers_are_told) {
   lease_table table = MakeTable();
   const std::uint64_t seen = table.Version();
