A call waits longer near by the more bytes its crossing would move

A call without a body waits for 0.4 of the time that its objective leaves, each KiB adds 0.12, at most 0.95.

--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -36,6 +36,7 @@
 // Between two looks in a slow spell while calls wait for its end.
 constexpr duration kSpellLook = std::chrono::milliseconds(15);
 constexpr std::uint32_t kUsualPercent = 100;
+constexpr double kWholePercent = 100;
 // Waiting calls are moved on in steps of this length at least.
 constexpr duration kAdvanceStep = std::chrono::milliseconds(2);
 
@@ -56,7 +57,7 @@
   instance_announcement announced;
   endpoint address;
   std::unique_ptr<http_client> client;
-  crest_queue queue{crest_options{}};
+  crest_queue queue;
   std::unordered_map<request_id, fiber_signal<wait_end>*> waiting;
   std::map<std::string, double, std::less<>> usual_us;  // By route.
   double mean_us = 0;                                   // Over all routes.
@@ -234,6 +235,7 @@
       .objective_at = now + duration(call.start.objective_us),
       .deadline = call.deadline,
       .expected = expected,
+      .wait_share = call.start.wait_percent / kWholePercent,
       .settles = call.start.settles};
   FollowSpeed(*at, now);
   const crest_decision decision = at->queue.Offer(asked, now);
--- a/src/controllers/routed_ingress.cc
+++ b/src/controllers/routed_ingress.cc
@@ -27,6 +27,9 @@
 constexpr duration kLongestAvoidance = std::chrono::seconds(4);
 // What a hop to another zone costs a call, there and back, until measured.
 constexpr duration kCrossing = std::chrono::milliseconds(4);
+// Weight of one request in the usual bytes of its route.
+constexpr double kBytesWeight = 0.1;
+constexpr double kWholePercent = 100;
 // Told to callers while no routing table is known.
 constexpr duration kNotReadyRetry = std::chrono::milliseconds(250);
 
@@ -86,6 +89,7 @@
   upstream_id upstream;
   endpoint address;
   std::string instance;
+  double wait_share = 0;
   bool settles = false;
 };
 
@@ -158,7 +162,7 @@
     const std::string& route, duration objective,
     const std::optional<duration>& time_left) {
   if (!time_left) return objective;
-  duration& longest = longest_left_[route];
+  duration& longest = habits_[route].longest_left;
   longest = std::max(longest, *time_left);
   return objective - (longest - *time_left);
 }
@@ -177,6 +181,10 @@
     RecordEnd(call, *choice, ended);
     last = ended.end.reason;
     if (ended.end.fate == outcome::kAnswered) {
+      double& bytes = habits_[call.route_name].bytes;
+      const auto moved = static_cast<double>(call.request.body.size() +
+                                             ended.body.size());
+      bytes += bytes > 0 ? kBytesWeight * (moved - bytes) : moved;
       const bool is_plain =
           call.tried.empty() && clock_.Now() <= call.objective_at;
       route_counts& counts = counts_[call.route_name];
@@ -277,13 +285,19 @@
                               .own_since = each->own_since,
                               .crossing = near ? duration(0) : kCrossing};
       });
-  const auto chosen = ChooseNearFirst(candidates, call.objective_at - now,
-                                      random_.Next(), options_.placement);
+  const double bytes = habits_[call.route_name].bytes;
+  const auto chosen =
+      ChooseNearFirst(candidates, call.objective_at - now, bytes,
+                      random_.Next(), options_.placement);
   if (!chosen) return std::nullopt;
   const fleet_member& member = *open[*chosen];
   return attempt_choice{.upstream = member.Id(),
                         .address = member.address,
                         .instance = member.lease.instance,
+                        .wait_share = candidates[*chosen].near
+                                          ? NearWaitShare(bytes,
+                                                          options_.placement)
+                                          : options_.placement.far_wait_share,
                         .settles = settles};
 }
 
@@ -302,6 +316,8 @@
                          .route = call.route_name,
                          .priority = call.definition->priority,
                          .objective_us = (call.objective_at - now).count(),
+      .wait_percent =
+          static_cast<std::uint32_t>(kWholePercent * choice.wait_share),
                          .settles = choice.settles};
   if (fleet_member* member = directory_.Find(call.service, choice.upstream)) {
     ++member->own_since;
--- a/src/controllers/routed_ingress.h
+++ b/src/controllers/routed_ingress.h
@@ -40,6 +40,12 @@
   std::uint64_t others = 0;
 };
 
+// What is learnt about the requests of one route.
+struct route_habits {
+  duration longest_left{};  // That a caller gave.
+  double bytes = 0;         // Of request and answer, smoothed.
+};
+
 // For the I/O thread only; owned by the daemon, outlives the fibers on it.
 //
 // A non-idempotent request is dispatched again only on the word of the serving
@@ -100,7 +106,7 @@
   weighted_choice parts_;
   std::map<std::string, std::unique_ptr<call_link>> links_;
   std::map<std::string, call_budget> repeats_;
-  std::map<std::string, duration> longest_left_;  // By route.
+  std::map<std::string, route_habits> habits_;  // By route.
   std::map<std::string, route_counts> counts_;
 };
 
--- a/src/policy/crest_queue.cc
+++ b/src/policy/crest_queue.cc
@@ -12,6 +12,14 @@
 // Weight of one call in the mean time at the upstream.
 constexpr double kMeanWeight = 0.1;
 
+// When a call has to begin to be in time.
+time_point StartBy(const crest_call& call, time_point now) {
+  const duration spare = call.objective_at - now - call.expected;
+  if (spare <= duration(0)) return now + spare;
+  return now + duration(static_cast<std::int64_t>(
+                   static_cast<double>(spare.count()) * call.wait_share));
+}
+
 }  // namespace
 
 void crest_queue::SetLimits(std::uint32_t limit, std::uint32_t brief_limit) {
@@ -56,13 +64,6 @@
   return opens + duration(static_cast<std::int64_t>(calls * mean_us / limit_));
 }
 
-time_point crest_queue::StartBy(const crest_call& call, time_point now) const {
-  const duration spare = call.objective_at - now - call.expected;
-  if (spare <= duration(0)) return now + spare;
-  return now + duration(static_cast<std::int64_t>(
-                   static_cast<double>(spare.count()) * options_.wait_share));
-}
-
 crest_decision crest_queue::Offer(const crest_call& call, time_point now) {
   entry offered{.call = call, .start_by = StartBy(call, now)};
   offered.late = offered.start_by < now;
--- a/src/policy/crest_queue.h
+++ b/src/policy/crest_queue.h
@@ -27,6 +27,9 @@
   time_point objective_at;     // An answer by then has its full value.
   time_point deadline;
   duration expected{};  // At the upstream, as it is now.
+  // Share of the wait that the objective leaves which may be used up by
+  // waiting; the rest is for work that takes longer than expected.
+  double wait_share = 0.6;
   // Nobody else would take it: it may wait although it will be late.
   bool settles = false;
 };
@@ -50,19 +53,11 @@
   std::vector<request_id> hopeless;
 };
 
-struct crest_options {
-  // Share of the wait that the objective leaves which may be used up by
-  // waiting; the rest is for work that takes longer than expected.
-  double wait_share = 0.6;
-};
-
 // Order: those that can still be in time, then by priority, then by objective,
 // so that brief calls, which other work waits for, come first among equals. Not
 // thread-safe; knows no clock but the times handed in.
 class crest_queue {
  public:
-  explicit crest_queue(const crest_options& options) : options_(options) {}
-
   // Calls that may run at once, and those that may when brief ones are among
   // them.
   void SetLimits(std::uint32_t limit, std::uint32_t brief_limit);
@@ -98,12 +93,9 @@
   [[nodiscard]] bool Before(const entry& a, const entry& b) const;
   [[nodiscard]] bool HasSlot(const crest_call& call) const;
   [[nodiscard]] duration ExpectedWait(const entry& offered) const;
-  [[nodiscard]] time_point StartBy(const crest_call& call,
-                                   time_point now) const;
   void Insert(entry added);
   void Fill(crest_change& change);
 
-  const crest_options options_;
   std::uint32_t limit_ = 0;
   std::uint32_t brief_limit_ = 0;
   bool shut_ = false;
--- a/src/policy/near_first.cc
+++ b/src/policy/near_first.cc
@@ -36,9 +36,16 @@
       excess * report.service_time_short_us / report.slot_limit));
 }
 
+double NearWaitShare(double bytes, const near_first_options& options) {
+  constexpr double kKib = 1024;
+  return std::min(options.wait_share +
+                      options.wait_share_per_kib * bytes / kKib,
+                  options.most_wait_share);
+}
+
 std::optional<std::size_t> ChooseNearFirst(
     std::span<const near_candidate> candidates, duration objective_left,
-    std::uint64_t tie, const near_first_options& options) {
+    double bytes, std::uint64_t tie, const near_first_options& options) {
   if (candidates.empty()) return std::nullopt;
   std::vector<scored> all;
   for (std::size_t step = 0; step < candidates.size(); ++step) {
@@ -64,7 +71,7 @@
   const duration spare =
       objective_left - ServiceTime(candidates[nearest->index]);
   const auto bearable = duration(static_cast<std::int64_t>(
-      static_cast<double>(spare.count()) * options.near_wait_share));
+      static_cast<double>(spare.count()) * NearWaitShare(bytes, options)));
   const bool stays = nearest->wait <= bearable || nearest->wait == duration(0);
   return stays ? nearest->index : least->index;
 }
--- a/src/policy/near_first.h
+++ b/src/policy/near_first.h
@@ -28,9 +28,14 @@
 };
 
 struct near_first_options {
-  // Share of the time that the objective leaves which a call may wait near by
-  // before it crosses zones.
-  double near_wait_share = 0.4;
+  // Share of the time that the objective leaves which a call without a body may
+  // wait near by before it crosses zones, and what each KiB that would cross
+  // adds to it.
+  double wait_share = 0.4;
+  double wait_share_per_kib = 0.12;
+  double most_wait_share = 0.95;
+  // The same for a call that has crossed: no more bytes are at stake.
+  double far_wait_share = 0.6;
   // After so long a report of load says nothing any more.
   duration report_lifetime = std::chrono::milliseconds(1000);
   // A slow spell lasts about so long; older figures say nothing of it.
@@ -41,10 +46,14 @@
 duration ExpectedWaitAt(const near_candidate& candidate,
                         const near_first_options& options);
 
+// The share of the wait that its objective leaves which a call may use up near
+// by, when `bytes` of request and answer would cross zones.
+double NearWaitShare(double bytes, const near_first_options& options);
+
 // The index of the choice; nothing for no candidates. `objective_left` may be
 // negative. `tie` breaks ties, so that nodes do not all choose the same.
 std::optional<std::size_t> ChooseNearFirst(
     std::span<const near_candidate> candidates, duration objective_left,
-    std::uint64_t tie, const near_first_options& options);
+    double bytes, std::uint64_t tie, const near_first_options& options);
 
 }  // namespace hornbeam
--- a/src/wire/call_messages.h
+++ b/src/wire/call_messages.h
@@ -46,6 +46,9 @@
   std::string route;     // Name in the routing table.
   std::uint32_t priority = 0;     // 0 is the most urgent.
   std::int64_t objective_us = 0;  // What is left of the latency objective.
+  // Share of the wait that the objective leaves, in percent, that the call may
+  // use up before it is refused as late.
+  std::uint32_t wait_percent = 0;
   // The ingress knows no better place: a call that will be late may wait too.
   bool settles = false;
 
@@ -53,7 +56,7 @@
   void serialize(Archive& archive) {
     archive(id, service, method, target, headers, body_size, deadline_us,
             incarnation, wait_limit_us, expected, attempt, instance, route,
-            priority, objective_us, settles);
+            priority, objective_us, wait_percent, settles);
   }
 };
 
