After a restart of everything: sooner a leader, sooner a table, upstreams told at once

Change: first election after two heartbeats; a commit is told with the next tick; requests wait up to a third of their time, 1 s at most, for a table or an upstream; a settling control VM tells what it knows; late calls give up after 0.3 of their time, brief ones (which other work waits for) do not; repeats 170 per mille.

--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -425,13 +425,18 @@
 }
 
 void control_service::PushMemberships() {
-  if (!HasSettled() || leases_.Version() == pushed_version_) return;
+  const bool settled = HasSettled();
+  const bool is_first_whole = settled && !pushed_settled_;
+  if (leases_.Version() == pushed_version_ && !is_first_whole) return;
   pushed_version_ = leases_.Version();
+  pushed_settled_ = settled;
   for (session* each : sessions_) {
     for (auto& [service, version] : each->Watched()) {
       membership_update update = leases_.ChangesSince(service, version);
-      version = pushed_version_;
-      update.settled = true;
+      update.settled = settled;
+      // Before that, only what is there is known, not what is missing.
+      if (settled) version = pushed_version_;
+      if (!settled && update.present.empty()) continue;
       if (update.whole || !update.present.empty() || !update.gone.empty()) {
         each->Push(update);
       }
--- a/src/controllers/control_service.h
+++ b/src/controllers/control_service.h
@@ -109,6 +109,7 @@
   bool isolated_ = false;
   std::uint64_t pushed_revision_ = 0;
   std::uint64_t pushed_version_ = 0;
+  bool pushed_settled_ = false;
   std::uint64_t pushed_routing_ = 0;
   std::vector<std::string> members_;  // Addresses of the control VMs.
   bool stopped_ = false;
--- a/src/controllers/fleet_directory.cc
+++ b/src/controllers/fleet_directory.cc
@@ -49,6 +49,14 @@
   changed_.notify_all();
 }
 
+void fleet_directory::WaitForChange(time_point deadline) {
+  const std::uint64_t before = changes_;
+  std::unique_lock lock(mutex_);
+  changed_.wait_until(lock, deadline, [this, before] {
+    return stopped_ || changes_ != before;
+  });
+}
+
 std::vector<fleet_member>& fleet_directory::Members(std::string_view service) {
   static std::vector<fleet_member> none;
   const auto found = services_.find(service);
@@ -139,6 +147,8 @@
   auto table = DecodeRoutingTable(update.table);
   if (!table || table->version <= Version()) return;
   table_ = routing_snapshot::MakeRoutingSnapshot(std::move(*table));
+  ++changes_;
+  changed_.notify_all();
   log_.Write(
       event_id::kRoutingInForce,
       {{"version", Version()}, {"routes", table_->Table().routes.size()}});
@@ -181,6 +191,8 @@
   const bool changed = !std::ranges::equal(members, next, same);
   members = std::move(next);
   if (!changed) return;
+  ++changes_;
+  changed_.notify_all();
   log_.Write(event_id::kMembershipChanged,
              {{"service", update.service}, {"members", members.size()}});
 }
--- a/src/controllers/fleet_directory.h
+++ b/src/controllers/fleet_directory.h
@@ -64,6 +64,10 @@
   [[nodiscard]] fleet_member* Find(std::string_view service,
                                    const upstream_id& id);
 
+  // Waits until the table or the upstreams of a service change, at most until
+  // `deadline`.
+  void WaitForChange(time_point deadline);
+
   // Whether callers can be served.
   [[nodiscard]] bool IsReady() const { return table_ && members_told_; }
 
@@ -97,6 +101,7 @@
   std::shared_ptr<const routing_snapshot> table_;
   std::map<std::string, std::vector<fleet_member>, std::less<>> services_;
   bool members_told_ = false;
+  std::uint64_t changes_ = 0;
   bool stopped_ = false;
   bool draining_ = false;
   bool lease_ended_ = false;
--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -29,7 +29,7 @@
 constexpr double kFirstGuess = 0.4;
 // The queue lets go of a call by its deadline; this covers late wake-ups.
 constexpr duration kQueueGrace = std::chrono::milliseconds(50);
-// Calls whose time is below this share of the mean are brief.
+// Calls whose time is below this share of the longest route's are brief.
 constexpr double kBriefShare = 0.5;
 // A look at the upstream's load takes about so long.
 constexpr duration kLookTime = std::chrono::milliseconds(1);
@@ -82,8 +82,10 @@
   }
 
   [[nodiscard]] bool IsBrief(duration expected) const {
-    return mean_us > 0 &&
-           static_cast<double>(expected.count()) < kBriefShare * mean_us;
+    const auto is_far_longer = [expected](const auto& route) {
+      return kBriefShare * route.second > static_cast<double>(expected.count());
+    };
+    return std::ranges::any_of(usual_us, is_far_longer);
   }
 
   // `percent`: the slowdown that was stated when the work began.
--- a/src/controllers/routed_ingress.cc
+++ b/src/controllers/routed_ingress.cc
@@ -30,8 +30,17 @@
 // Weight of one request in the usual bytes of its route.
 constexpr double kBytesWeight = 0.1;
 constexpr double kWholePercent = 100;
-// Told to callers while no routing table is known.
-constexpr duration kNotReadyRetry = std::chrono::milliseconds(250);
+// A request waits for a routing table or an upstream to turn up for at most
+// this share of the caller's time, and for no longer than this.
+constexpr int kPatienceShare = 3;
+constexpr duration kLongestPatience = std::chrono::milliseconds(1000);
+// Between two looks for an upstream.
+constexpr duration kUpstreamLook = std::chrono::milliseconds(100);
+
+duration PatienceOf(const std::optional<duration>& time_left) {
+  return std::min(time_left.value_or(kLongestPatience) / kPatienceShare,
+                  kLongestPatience);
+}
 
 bool IsRefusal(end_reason reason) {
   return reason == end_reason::kBetterPlace ||
@@ -77,6 +86,7 @@
   std::string service;
   std::vector<header_field> headers;
   time_point started;
+  time_point patient_until;  // An upstream may still turn up until then.
   time_point deadline;
   time_point objective_at;
   std::vector<upstream_id> tried;
@@ -123,12 +133,14 @@
 http_response routed_ingress::Handle(const http_request& request,
                                      cancel_source& caller_gone) {
   caller_request asked = codec_.ReadCaller(request);
-  const auto table = directory_.Table();
+  const time_point arrived = clock_.Now();
+  const auto table = WaitForTable(arrived + PatienceOf(asked.time_left));
   if (!table) {
-    return codec_.WriteFailure({.kind = failure_kind::kNotReady,
-                                .retry_after = kNotReadyRetry,
-                                .reason = "no routing table is known yet"},
-                               asked.id);
+    return codec_.WriteFailure(
+        {.kind = failure_kind::kNotReady,
+         .retry_after = asked.time_left.value_or(kLongestPatience) / 3,
+         .reason = "no routing table is known yet"},
+        asked.id);
   }
   const named_route* found = table->Match(asked.host, request.target);
   if (found == nullptr) {
@@ -141,7 +153,8 @@
                    .caller_id = std::move(asked.id),
                    .route_name = found->name,
                    .definition = &definition,
-                   .started = clock_.Now()};
+                   .started = arrived,
+                   .patient_until = arrived + PatienceOf(asked.time_left)};
   const duration timeout = std::chrono::microseconds(definition.timeout_us);
   call.deadline =
       call.started + std::min(asked.time_left.value_or(timeout), timeout);
@@ -176,14 +189,17 @@
                  : Fail(call, failure_kind::kRejected, ReasonName(last));
     }
     const auto choice = Choose(call);
-    if (!choice) return Fail(call, failure_kind::kRejected, ReasonName(last));
+    if (!choice) {
+      if (WaitForUpstream(call)) continue;
+      return Fail(call, failure_kind::kRejected, ReasonName(last));
+    }
     call_result ended = Dispatch(call, *choice);
     RecordEnd(call, *choice, ended);
     last = ended.end.reason;
     if (ended.end.fate == outcome::kAnswered) {
       double& bytes = habits_[call.route_name].bytes;
-      const auto moved = static_cast<double>(call.request.body.size() +
-                                             ended.body.size());
+      const auto moved =
+          static_cast<double>(call.request.body.size() + ended.body.size());
       bytes += bytes > 0 ? kBytesWeight * (moved - bytes) : moved;
       const bool is_plain =
           call.tried.empty() && clock_.Now() <= call.objective_at;
@@ -226,6 +242,29 @@
       "the caller went away");
 }
 
+// After a restart the table comes within moments: waiting for it serves the
+// caller sooner than another try.
+std::shared_ptr<const routing_snapshot> routed_ingress::WaitForTable(
+    time_point deadline) {
+  while (!directory_.Table() && clock_.Now() < deadline) {
+    directory_.WaitForChange(deadline);
+  }
+  return directory_.Table();
+}
+
+// While none of the service's upstreams can be reached, one may come back; true
+// when it is worth another look.
+bool routed_ingress::WaitForUpstream(routed_call& call) {
+  const bool may_wait = call.reached == 0 && call.refused_late.empty() &&
+                        clock_.Now() < call.patient_until &&
+                        !call.caller_gone.IsCancelled();
+  if (!may_wait) return false;
+  call.tried.clear();
+  directory_.WaitForChange(
+      std::min(clock_.Now() + kUpstreamLook, call.patient_until));
+  return true;
+}
+
 http_response routed_ingress::Fail(const routed_call& call, failure_kind kind,
                                    std::string_view reason) {
   const time_point now = clock_.Now();
@@ -291,14 +330,14 @@
                       random_.Next(), options_.placement);
   if (!chosen) return std::nullopt;
   const fleet_member& member = *open[*chosen];
-  return attempt_choice{.upstream = member.Id(),
-                        .address = member.address,
-                        .instance = member.lease.instance,
-                        .wait_share = candidates[*chosen].near
-                                          ? NearWaitShare(bytes,
-                                                          options_.placement)
-                                          : options_.placement.far_wait_share,
-                        .settles = settles};
+  return attempt_choice{
+      .upstream = member.Id(),
+      .address = member.address,
+      .instance = member.lease.instance,
+      .wait_share = candidates[*chosen].near
+                        ? NearWaitShare(bytes, options_.placement)
+                        : options_.placement.far_wait_share,
+      .settles = settles};
 }
 
 call_result routed_ingress::Dispatch(const routed_call& call,
@@ -316,8 +355,8 @@
                          .route = call.route_name,
                          .priority = call.definition->priority,
                          .objective_us = (call.objective_at - now).count(),
-      .wait_percent =
-          static_cast<std::uint32_t>(kWholePercent * choice.wait_share),
+                         .wait_percent = static_cast<std::uint32_t>(
+                             kWholePercent * choice.wait_share),
                          .settles = choice.settles};
   if (fleet_member* member = directory_.Find(call.service, choice.upstream)) {
     ++member->own_since;
@@ -399,7 +438,7 @@
                               .own_since = each.own_since};
     least = std::min(least, ExpectedWaitAt(seen, options_.placement));
   }
-  return least == duration::max() ? kNotReadyRetry : least;
+  return least == duration::max() ? kLongestPatience : least;
 }
 
 call_budget& routed_ingress::Repeats(const std::string& service) {
--- a/src/controllers/routed_ingress.h
+++ b/src/controllers/routed_ingress.h
@@ -31,7 +31,7 @@
   near_first_options placement;
   return_pacing_options returns;
   // Dispatches beyond the first of each request, for each service.
-  call_budget_options repeats{.per_mille = 100, .burst = 4};
+  call_budget_options repeats{.per_mille = 170, .burst = 4};
 };
 
 // How requests of one route ended since the last line of the log.
@@ -76,6 +76,8 @@
   struct routed_call;
   struct attempt_choice;
 
+  std::shared_ptr<const routing_snapshot> WaitForTable(time_point deadline);
+  bool WaitForUpstream(routed_call& call);
   http_response Fail(const routed_call& call, failure_kind kind,
                      std::string_view reason);
   http_response Run(routed_call& call);
--- a/src/policy/crest_queue.cc
+++ b/src/policy/crest_queue.cc
@@ -9,6 +9,8 @@
 
 namespace {
 
+// Share of the time until its deadline for which a late call waits.
+constexpr double kLateWaitShare = 0.3;
 // Weight of one call in the mean time at the upstream.
 constexpr double kMeanWeight = 0.1;
 
@@ -66,7 +68,7 @@
 
 crest_decision crest_queue::Offer(const crest_call& call, time_point now) {
   entry offered{.call = call, .start_by = StartBy(call, now)};
-  offered.late = offered.start_by < now;
+  if (offered.start_by < now) MakeLate(offered, now);
   const bool hopeless = now + call.expected > call.deadline;
   crest_decision decision{.wait = ExpectedWait(offered)};
   const bool is_next = decision.wait == duration(0) && HasSlot(call);
@@ -79,13 +81,14 @@
     return decision;
   }
   if (!offered.late && decision.wait > offered.start_by - now) {
-    offered.late = true;
+    MakeLate(offered, now);
     decision.wait = ExpectedWait(offered);
   }
-  const bool in_time_for_deadline =
-      decision.wait != duration::max() &&
-      now + decision.wait + call.expected <= call.deadline;
-  if (!in_time_for_deadline) {
+  const time_point last_start =
+      offered.late ? offered.give_up_at : call.deadline - call.expected;
+  const bool is_served =
+      decision.wait != duration::max() && now + decision.wait <= last_start;
+  if (!is_served && !(offered.late && !call.settles)) {
     decision.verdict = crest_verdict::kHopeless;
   } else if (offered.late && !call.settles) {
     decision.verdict = crest_verdict::kLate;
@@ -96,6 +99,17 @@
   return decision;
 }
 
+// A late call is served when there is room soon; while there is none, its
+// caller does better to come back.
+void crest_queue::MakeLate(entry& each, time_point now) {
+  each.late = true;
+  const duration left =
+      std::max(each.call.deadline - each.call.expected - now, duration(0));
+  each.give_up_at = now + duration(static_cast<std::int64_t>(
+                              (each.call.brief ? 1.0 : kLateWaitShare) *
+                              static_cast<double>(left.count())));
+}
+
 void crest_queue::Insert(entry added) {
   const auto place = std::ranges::upper_bound(
       waiting_, added,
@@ -113,12 +127,13 @@
   Fill(change);
   std::vector<entry> now_late;
   std::erase_if(waiting_, [&](entry& each) {
-    if (now + each.call.expected > each.call.deadline) {
+    const bool hopeless = now + each.call.expected > each.call.deadline;
+    if (hopeless || (each.late && now >= each.give_up_at)) {
       change.hopeless.push_back(each.call.id);
       return true;
     }
     if (each.late || now <= each.start_by) return false;
-    each.late = true;
+    MakeLate(each, now);
     if (each.call.settles) {
       now_late.push_back(each);
     } else {
@@ -165,7 +180,7 @@
   for (const entry& each : waiting_) {
     const time_point hopeless_at = each.call.deadline - each.call.expected;
     const time_point at =
-        each.late ? hopeless_at : std::min(each.start_by, hopeless_at);
+        each.late ? each.give_up_at : std::min(each.start_by, hopeless_at);
     if (!next || at < *next) next = at;
   }
   return next;
--- a/src/policy/crest_queue.h
+++ b/src/policy/crest_queue.h
@@ -21,7 +21,8 @@
 // A call that asks for a slot.
 struct crest_call {
   request_id id;
-  // Far shorter than the usual call here: never waits for a slot behind those.
+  // Far shorter than others here, and likely to be waited for by work that runs
+  // elsewhere: never waits for a slot behind those, and never gives up early.
   bool brief = false;
   std::uint32_t priority = 0;  // 0 is the most urgent.
   time_point objective_at;     // An answer by then has its full value.
@@ -86,13 +87,15 @@
  private:
   struct entry {
     crest_call call;
-    time_point start_by;  // To be in time.
+    time_point start_by;    // To be in time.
+    time_point give_up_at;  // Of a late one.
     bool late = false;
   };
 
   [[nodiscard]] bool Before(const entry& a, const entry& b) const;
   [[nodiscard]] bool HasSlot(const crest_call& call) const;
   [[nodiscard]] duration ExpectedWait(const entry& offered) const;
+  static void MakeLate(entry& each, time_point now);
   void Insert(entry added);
   void Fill(crest_change& change);
 
--- a/src/policy/near_first.cc
+++ b/src/policy/near_first.cc
@@ -38,9 +38,9 @@
 
 double NearWaitShare(double bytes, const near_first_options& options) {
   constexpr double kKib = 1024;
-  return std::min(options.wait_share +
-                      options.wait_share_per_kib * bytes / kKib,
-                  options.most_wait_share);
+  return std::min(
+      options.wait_share + options.wait_share_per_kib * bytes / kKib,
+      options.most_wait_share);
 }
 
 std::optional<std::size_t> ChooseNearFirst(
--- a/src/replication/replica_core.h
+++ b/src/replication/replica_core.h
@@ -195,6 +195,7 @@
   std::optional<replica_identity> leader_;
   time_point election_deadline_;
   time_point leader_heard_at_;
+  bool heard_leader_ = false;  // Since this process started.
   cluster_discovery discovery_;
   time_point next_hello_;
   std::string told_leader_;  // As another replica named it; may be empty.
--- a/src/replication/replica_core_election.cc
+++ b/src/replication/replica_core_election.cc
@@ -8,6 +8,14 @@
 
 namespace hornbeam {
 
+namespace {
+
+// A leader shows itself to a replica that has just started within so many of
+// its heartbeats.
+constexpr int kFirstHeartbeats = 2;
+
+}  // namespace
+
 // ---- Formation ----
 
 void replica_core::SendHellos() {
@@ -64,12 +72,20 @@
 
 // ---- Elections ----
 
+// A replica that has just started waits only for as long as a leader would need
+// to show itself: after a loss of all power nobody leads. The pre-vote keeps it
+// from disturbing one that does.
 void replica_core::ResetElectionDeadline() {
-  const auto spread =
-      static_cast<std::uint64_t>(options_.election_timeout.count());
+  const duration least =
+      heard_leader_ ? options_.election_timeout
+                    : std::min(options_.heartbeat_interval * kFirstHeartbeats,
+                               options_.election_timeout);
+  const duration spread =
+      heard_leader_ ? options_.election_timeout : options_.election_timeout / 2;
+  const auto bound = static_cast<std::uint64_t>(spread.count());
   election_deadline_ =
-      now_ + options_.election_timeout +
-      duration(random_.NextBelow(std::max<std::uint64_t>(spread, 1)));
+      now_ + least +
+      duration(random_.NextBelow(std::max<std::uint64_t>(bound, 1)));
 }
 
 void replica_core::Campaign(bool pre_vote) {
--- a/src/replication/replica_core_leader.cc
+++ b/src/replication/replica_core_leader.cc
@@ -238,6 +238,8 @@
   if (log_.TermAt(index) != hard_state_.term) return;
   EmitCommitted(index);
   ConfirmReads();
+  // The others learn of it with the next tick.
+  next_heartbeat_ = now_;
 }
 
 bool replica_core::CommittedInOwnTerm() const {
