--- a/include/hornbeam/platform_codec.h
+++ b/include/hornbeam/platform_codec.h
@@ -23,7 +23,7 @@
 // ---- Callers and upstreams ----
 
 // What a caller says about its request.
-struct caller_request {
+struct caller_statement {
   std::string id;                     // Empty when the caller gave none.
   std::optional<duration> time_left;  // Nothing when the caller set no limit.
   std::string host;
@@ -118,7 +118,7 @@
 
   // ---- Callers and upstreams ----
 
-  [[nodiscard]] virtual caller_request ReadCaller(
+  [[nodiscard]] virtual caller_statement ReadCaller(
       const http_request& request) const = 0;
   // The caller's fields that go on to an upstream, with `caller_service` as the
   // service where the request began, whatever the caller said.
--- a/src/controllers/routed_ingress.cc
+++ b/src/controllers/routed_ingress.cc
@@ -132,7 +132,7 @@
 
 http_response routed_ingress::Handle(const http_request& request,
                                      cancel_source& caller_gone) {
-  caller_request asked = codec_.ReadCaller(request);
+  caller_statement asked = codec_.ReadCaller(request);
   const time_point arrived = clock_.Now();
   const auto table = WaitForTable(arrived + PatienceOf(asked.time_left));
   if (!table) {
--- a/src/policy/crest_queue.cc
+++ b/src/policy/crest_queue.cc
@@ -53,7 +53,12 @@
 // Slots become free at the rate at which calls of the usual length end.
 duration crest_queue::ExpectedWait(const entry& offered) const {
   if (limit_ == 0) return duration::max();
-  if (waiting_.empty() && HasSlot(offered.call)) return duration(0);
+  const auto is_rival = [&](const entry& each) {
+    return HasSlot(each.call) && !Before(offered, each);
+  };
+  if (HasSlot(offered.call) && std::ranges::none_of(waiting_, is_rival)) {
+    return duration(0);
+  }
   const auto ahead = static_cast<double>(std::ranges::count_if(
       waiting_, [&](const entry& each) { return !Before(offered, each); }));
   const double busy = static_cast<double>(running_) - limit_ + 1;
--- /dev/null
+++ b/tests/platform_codec_test.cc
@@ -0,0 +1,181 @@
+// The platform's words in the product's terms and back.
+#include <boost/json.hpp>
+#include <boost/test/unit_test.hpp>
+#include <string>
+
+#include "http/http_messages.h"
+#include "platform/platform_codec_impl.h"
+#include "platform/routing_json.h"
+#include "routing/routing_rules.h"
+
+namespace hornbeam {
+
+namespace {
+
+using platform::platform_codec_impl;
+
+const std::string kTable =
+    R"({"version":"r7","routes":{"a":{"host":"h.example","pathPrefix":"/a/",)"
+    R"("kind":"safe","timeoutS":1.5,"aimS":0.6,"priority":2,"split":[)"
+    R"({"service":"s","weight":90},{"service":"t","weight":10}],)"
+    R"("maxAttempts":2}},"services":{"s":{"healthPath":"/h",)"
+    R"("maxConnections":220,"protocol":"h1","tls":false},)"
+    R"("t":{"healthPath":"/h"}},"limits":{"maxBodyBytes":100},)"
+    R"("baseVersion":"r5"})";
+
+http_request Post(const std::string& target, const std::string& body) {
+  return {.method = "POST", .target = target, .body = body};
+}
+
+std::string Beat(const std::string& status) {
+  return R"({"address":"10.0.0.9:8080","born":1700000000000,"info":{)"
+         R"("service":"s","version":"v1","zone":"z","slots":18},"status":)" +
+         status + "}";
+}
+
+std::string Without(const std::string& text, const std::string& part) {
+  std::string rest = text;
+  rest.erase(rest.find(part), part.size());
+  return rest;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(platform_codec_test)
+
+BOOST_AUTO_TEST_CASE(a_whole_table_is_read_and_given_back_as_it_was) {
+  const auto change = platform::ReadRoutingChange(kTable, true);
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST(change.value().version == 7U);
+  BOOST_TEST(change.value().base_version == 5U);
+  const route& read = change.value().routes.at("a");
+  BOOST_TEST(read.idempotent);
+  BOOST_TEST(read.timeout_us == 1'500'000U);
+  BOOST_TEST(read.objective_us == 600'000U);
+  BOOST_TEST(read.parts.size() == 2U);
+  const auto table = ApplyRoutingChange({}, change.value());
+  boost::json::object sent = boost::json::parse(kTable).as_object();
+  sent.erase("baseVersion");
+  BOOST_TEST((boost::json::parse(platform::WriteRoutingTableText(
+                  table.value())) == boost::json::value(sent)));
+}
+
+BOOST_AUTO_TEST_CASE(the_same_change_has_the_same_id_and_another_another) {
+  const auto first = platform::ReadRoutingChange(kTable, true);
+  const auto again = platform::ReadRoutingChange(" " + kTable, true);
+  std::string other = kTable;
+  other.replace(other.find("90"), 2, "80");
+  const auto changed = platform::ReadRoutingChange(other, true);
+  BOOST_TEST((first.value().change_id == again.value().change_id));
+  BOOST_TEST((first.value().change_id != changed.value().change_id));
+}
+
+BOOST_AUTO_TEST_CASE(what_cannot_be_read_in_full_is_no_change) {
+  for (const std::string& bad :
+       {std::string("{"), std::string("[]"), kTable.substr(0, 100),
+        Without(kTable, R"("kind":"safe",)"),
+        Without(kTable, R"("version":"r7",)"),
+        std::string(R"({"version":"r7","routes":[]})")}) {
+    BOOST_TEST(!platform::ReadRoutingChange(bad, true).has_value(), bad);
+  }
+  std::string odd = kTable;
+  odd.replace(odd.find("safe"), 4, "odd!");
+  BOOST_TEST(!platform::ReadRoutingChange(odd, true).has_value());
+}
+
+BOOST_AUTO_TEST_CASE(named_changes_are_read) {
+  const auto change = platform::ReadRoutingChange(
+      R"({"version":"r9","baseVersion":"r7","remove":{"routes":["old"]},)"
+      R"("upsert":{"services":{"u":{"healthPath":"/h"}}}})",
+      false);
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST(!change.value().whole);
+  BOOST_TEST(change.value().removed_routes.size() == 1U);
+  BOOST_TEST(change.value().services.contains("u"));
+}
+
+BOOST_AUTO_TEST_CASE(announcements_are_read_or_refused) {
+  const platform_codec_impl codec;
+  const std::string target = "/hornbeamlb/Instances.Heartbeat/i-1";
+  const std::string good =
+      Beat(R"({"state":"ready","seq":4,"coldRemainingS":1.5})");
+  const auto read = codec.ReadNodeRequest(Post(target, good));
+  BOOST_REQUIRE(read.has_value());
+  const auto& announced = std::get<instance_announcement>(read.value());
+  BOOST_TEST(announced.instance == "i-1");
+  BOOST_TEST(announced.sequence == 4U);
+  BOOST_TEST(announced.slots == 18U);
+  BOOST_TEST((announced.cold_for == std::chrono::milliseconds(1500)));
+  for (const std::string& bad :
+       {Beat(R"({"state":"asleep","seq":4,"coldRemainingS":0})"),
+        Beat(R"({"state":"ready","seq":"4","coldRemainingS":0})"),
+        Without(good, R"("born":1700000000000,)"),
+        Without(good, R"(,"slots":18)"), std::string("\xff\xfe")}) {
+    const auto refused = codec.ReadNodeRequest(Post(target, bad));
+    BOOST_TEST(!refused.has_value(), bad);
+    BOOST_TEST(codec.WriteFault(refused.error()).status == 400U);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_withdrawal_needs_no_body) {
+  const platform_codec_impl codec;
+  const auto read =
+      codec.ReadNodeRequest(Post("/hornbeamlb/Instances.Deregister/i-1", ""));
+  BOOST_REQUIRE(read.has_value());
+  BOOST_TEST(std::get<instance_withdrawal>(read.value()).instance == "i-1");
+}
+
+BOOST_AUTO_TEST_CASE(the_system_sets_its_own_fields_whatever_the_caller_sent) {
+  const platform_codec_impl codec;
+  const http_request request{.method = "GET",
+                             .target = "/a/1",
+                             .headers = {{"Host", "h.example"},
+                                         {"X-Request-Id", "r1"},
+                                         {"x-caller-service", "forged"},
+                                         {"X-Expect-Instance", "forged"},
+                                         {"X-Deadline-Ms", "1500"},
+                                         {"Connection", "keep-alive, X-Hop"},
+                                         {"X-Hop", "1"},
+                                         {"X-Other", "kept"}}};
+  auto fields = codec.MakeForwardedFields(request, "own");
+  codec.StampDispatch(fields, "i-1", std::chrono::milliseconds(900));
+  const http_request sent{.headers = fields};
+  BOOST_TEST(sent.Header("X-Caller-Service").value() == "own");
+  BOOST_TEST(sent.Header("X-Expect-Instance").value() == "i-1");
+  BOOST_TEST(sent.Header("X-Deadline-Ms").value() == "900");
+  BOOST_TEST(sent.Header("X-Request-Id").value() == "r1");
+  BOOST_TEST(sent.Header("X-Other").value() == "kept");
+  BOOST_TEST(!sent.Header("X-Hop").has_value());
+  BOOST_TEST(fields.size() == 6U);
+}
+
+BOOST_AUTO_TEST_CASE(only_the_upstream_s_own_word_says_that_it_did_not_run) {
+  const platform_codec_impl codec;
+  BOOST_TEST(!codec.ReadAnswer(503, {{"X-Not-Executed", "1"}}).ran);
+  BOOST_TEST(!codec.ReadAnswer(421, {}).ran);
+  BOOST_TEST(codec.ReadAnswer(503, {}).ran);
+  const auto read = codec.ReadAnswer(
+      200, {{"X-Response-Signature", "x"}, {"X-Instance-Load", "3,1,18,500"}});
+  BOOST_TEST(read.genuine);
+  BOOST_TEST(read.load->slowdown_percent == 500U);
+  BOOST_TEST(!codec.ReadAnswer(200, {{"X-Instance-Load", "3,x,18"}}).load);
+}
+
+BOOST_AUTO_TEST_CASE(failures_say_what_is_true) {
+  const platform_codec_impl codec;
+  const auto status = [&codec](failure_kind kind) {
+    return codec.WriteFailure({.kind = kind, .reason = "why"}, "r1").status;
+  };
+  BOOST_TEST(status(failure_kind::kRejected) == 503U);
+  BOOST_TEST(status(failure_kind::kNotReady) == 503U);
+  BOOST_TEST(status(failure_kind::kUnknown) == 502U);
+  BOOST_TEST(status(failure_kind::kTooLate) == 504U);
+  BOOST_TEST(status(failure_kind::kNoRoute) == 404U);
+  const http_response rejected = codec.WriteFailure(
+      {.retry_after = std::chrono::milliseconds(125), .reason = "why"}, "r1");
+  BOOST_TEST(rejected.Header("Retry-After").value() == "0.125");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hornbeam
--- a/tests/replica_core_test.cc
+++ b/tests/replica_core_test.cc
@@ -19,6 +19,8 @@
   std::size_t replicas = 3;
   bool formed = true;
   int orders = 0;
+  // Fewer than all: an open group.
+  std::size_t founders = 0;
 };
 
 struct order_totals {
@@ -30,7 +32,11 @@
 // Runs one order of steps; fails the property on a broken promise.
 void RunOrder(const order_shape& shape, const std::vector<std::uint32_t>& steps,
               order_totals& totals) {
-  core_group group(shape.replicas, shape.formed);
+  const auto made =
+      shape.founders > 0
+          ? core_group::MakeOpenGroup(shape.replicas, shape.founders)
+          : std::make_unique<core_group>(shape.replicas, shape.formed);
+  core_group& group = *made;
   for (const std::uint32_t step : steps) {
     group.Step(step);
     if (!group.Violation().empty()) RC_FAIL(group.Violation());
@@ -86,6 +92,10 @@
   CheckOrders({.replicas = 5, .formed = true, .orders = 5000});
 }
 
+BOOST_AUTO_TEST_CASE(replicas_that_join_keep_the_promises) {
+  CheckOrders({.replicas = 5, .formed = false, .orders = 3000, .founders = 3});
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hornbeam
--- /dev/null
+++ b/tests/routing_test.cc
@@ -0,0 +1,171 @@
+// The routing table: how it changes, what it matches, how it shares out.
+#include <boost/test/unit_test.hpp>
+#include <map>
+#include <string>
+
+#include "base/seeded_random_source.h"
+#include "routing/routing_codec.h"
+#include "routing/routing_rules.h"
+#include "routing/routing_snapshot.h"
+#include "routing/routing_store.h"
+#include "routing/weighted_choice.h"
+
+namespace hornbeam {
+
+namespace {
+
+route MakeRoute(const std::string& prefix, const std::string& service) {
+  return {.host = "guichet.example",
+          .path_prefix = prefix,
+          .idempotent = true,
+          .timeout_us = 1'000'000,
+          .objective_us = 400'000,
+          .most_attempts = 2,
+          .parts = {{.service = service}}};
+}
+
+routing_change MakeWhole(std::uint64_t id, std::uint64_t base,
+                         std::uint64_t version) {
+  routing_change change{.change_id = {.high = 0, .low = id},
+                        .base_version = base,
+                        .version = version,
+                        .whole = true};
+  change.routes["lookup"] = MakeRoute("/lookup/", "guichet");
+  change.services["guichet"] = {.health_path = "/health"};
+  return change;
+}
+
+routing_reply Apply(routing_store& store, const routing_change& change) {
+  const std::string command = EncodeRoutingChange(change);
+  return DecodeRoutingReply(store.Apply({.index = 1, .command = command}))
+      .value();
+}
+
+routing_table TableOf(const routing_store& store) {
+  return DecodeRoutingTable(
+             store.Query(EncodeRoutingQuery(routing_query::kTable)))
+      .value();
+}
+
+bool IsAccepted(const routing_reply& reply) {
+  return reply.verdict == routing_verdict::kAccepted;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(routing_test)
+
+BOOST_AUTO_TEST_CASE(of_two_changes_on_one_version_one_wins) {
+  routing_store store;
+  BOOST_TEST(IsAccepted(Apply(store, MakeWhole(1, 0, 3))));
+  const routing_reply lost = Apply(store, MakeWhole(2, 0, 4));
+  BOOST_TEST((lost.verdict == routing_verdict::kStale));
+  BOOST_TEST(lost.current_version == 3U);
+  BOOST_TEST(TableOf(store).version == 3U);
+}
+
+BOOST_AUTO_TEST_CASE(an_accepted_change_is_acknowledged_again_for_ever) {
+  routing_store store;
+  Apply(store, MakeWhole(1, 0, 3));
+  Apply(store, MakeWhole(2, 3, 5));
+  BOOST_TEST(IsAccepted(Apply(store, MakeWhole(1, 0, 3))));
+  BOOST_TEST(TableOf(store).version == 5U);
+}
+
+BOOST_AUTO_TEST_CASE(an_invalid_change_is_refused_whole_with_every_reason) {
+  routing_store store;
+  Apply(store, MakeWhole(1, 0, 3));
+  routing_change bad{
+      .change_id = {.high = 0, .low = 2}, .base_version = 3, .version = 4};
+  bad.routes["good"] = MakeRoute("/good/", "guichet");
+  bad.routes["unknown"] = MakeRoute("/unknown/", "nobody");
+  bad.routes["attempts"] = MakeRoute("/attempts/", "guichet");
+  bad.routes["attempts"].most_attempts = 0;
+  bad.routes["weight"] = MakeRoute("/weight/", "guichet");
+  bad.routes["weight"].parts.push_back({.service = "guichet", .weight = -1});
+  bad.routes["objective"] = MakeRoute("/objective/", "guichet");
+  bad.routes["objective"].objective_us = 61'000'000;
+  const routing_reply reply = Apply(store, bad);
+  BOOST_TEST((reply.verdict == routing_verdict::kInvalid));
+  BOOST_TEST(reply.faults.size() == 4U);
+  BOOST_TEST(TableOf(store).version == 3U);
+  BOOST_TEST(!TableOf(store).routes.contains("good"));
+}
+
+BOOST_AUTO_TEST_CASE(a_version_that_is_not_higher_is_invalid) {
+  routing_store store;
+  Apply(store, MakeWhole(1, 0, 3));
+  BOOST_TEST(
+      (Apply(store, MakeWhole(2, 3, 3)).verdict == routing_verdict::kInvalid));
+}
+
+BOOST_AUTO_TEST_CASE(a_service_that_a_route_names_cannot_go) {
+  routing_store store;
+  Apply(store, MakeWhole(1, 0, 3));
+  const routing_change removal{.change_id = {.high = 0, .low = 2},
+                               .base_version = 3,
+                               .version = 4,
+                               .removed_services = {"guichet"}};
+  BOOST_TEST((Apply(store, removal).verdict == routing_verdict::kInvalid));
+}
+
+BOOST_AUTO_TEST_CASE(named_changes_leave_the_rest) {
+  routing_store store;
+  Apply(store, MakeWhole(1, 0, 3));
+  routing_change named{
+      .change_id = {.high = 0, .low = 2}, .base_version = 3, .version = 9};
+  named.routes["filing"] = MakeRoute("/filing/", "guichet");
+  BOOST_TEST(IsAccepted(Apply(store, named)));
+  const routing_table table = TableOf(store);
+  BOOST_TEST(table.version == 9U);
+  BOOST_TEST(table.routes.size() == 2U);
+}
+
+BOOST_AUTO_TEST_CASE(a_snapshot_remembers_what_was_accepted) {
+  routing_store store;
+  Apply(store, MakeWhole(1, 0, 3));
+  Apply(store, MakeWhole(2, 3, 5));
+  routing_store restored;
+  BOOST_TEST(restored.RestoreSnapshot(store.TakeSnapshot()));
+  BOOST_TEST((TableOf(restored) == TableOf(store)));
+  BOOST_TEST(IsAccepted(Apply(restored, MakeWhole(1, 0, 3))));
+  BOOST_TEST(!restored.RestoreSnapshot("no snapshot"));
+}
+
+BOOST_AUTO_TEST_CASE(bytes_that_are_no_change_change_nothing) {
+  routing_store store;
+  const auto reply =
+      DecodeRoutingReply(store.Apply({.index = 1, .command = "rubbish"}));
+  BOOST_TEST((reply->verdict == routing_verdict::kInvalid));
+  BOOST_TEST(TableOf(store).version == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_prefix_of_the_host_matches) {
+  routing_table table;
+  table.routes["all"] = MakeRoute("/", "guichet");
+  table.routes["lookup"] = MakeRoute("/lookup/", "guichet");
+  const auto snapshot = routing_snapshot::MakeRoutingSnapshot(table);
+  BOOST_TEST(snapshot->Match("Guichet.Example:80", "/lookup/7?x=/")->name ==
+             "lookup");
+  BOOST_TEST(snapshot->Match("guichet.example", "/lookup")->name == "all");
+  BOOST_TEST(snapshot->Match("other.example", "/lookup/7") == nullptr);
+}
+
+BOOST_AUTO_TEST_CASE(parts_get_their_weights_over_few_calls) {
+  route split = MakeRoute("/", "a");
+  split.parts = {{.service = "a", .weight = 90},
+                 {.service = "b", .weight = 10}};
+  std::map<std::string, int> counts;
+  // Forty nodes with five calls each.
+  for (std::uint64_t seed = 1; seed <= 40; ++seed) {
+    seeded_random_source random(seed);
+    weighted_choice choice(random);
+    for (int call = 0; call < 5; ++call) ++counts[choice.Next("r", split)];
+  }
+  BOOST_TEST(counts["b"] >= 10);
+  BOOST_TEST(counts["b"] <= 30);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hornbeam
--- a/tests/support/core_group.cc
+++ b/tests/support/core_group.cc
@@ -77,10 +77,20 @@
 }  // namespace
 
 core_group::core_group(std::size_t replicas, bool formed)
-    : random_(kSeed), replicas_(replicas) {
+    : core_group(replicas, replicas, formed) {}
+
+std::unique_ptr<core_group> core_group::MakeOpenGroup(std::size_t replicas,
+                                                      std::size_t founders) {
+  return std::unique_ptr<core_group>(new core_group(replicas, founders, false));
+}
+
+core_group::core_group(std::size_t replicas, std::size_t founders, bool formed)
+    : random_(kSeed), founders_(founders), replicas_(replicas) {
   replica_membership membership;
   for (std::size_t i = 0; i < replicas; ++i) {
     names_.push_back(std::string(1, static_cast<char>('a' + i)));
+  }
+  for (std::size_t i = 0; i < replicas; ++i) {
     replicas_[i].disk = std::make_unique<memory_disk>(++last_incarnation_);
     membership.members.push_back(
         {.identity = {.name = names_[i], .incarnation = last_incarnation_},
@@ -103,6 +113,11 @@
 
 replica_options core_group::MakeOptions(std::size_t at) const {
   replica_options options{.name = names_[at], .configured_names = names_};
+  if (IsOpen()) {
+    options.configured_names.resize(founders_);
+    options.may_found = at < founders_;
+    options.wanted_voters = founders_;
+  }
   options.max_batch_bytes = 8;  // A few entries a message.
   options.max_snapshot_chunk_bytes = 64;
   options.kept_entries = 1;
@@ -352,6 +367,11 @@
 bool core_group::IsSettled() const {
   return std::ranges::all_of(replicas_, [&](const replica& each) {
     const replica_membership& membership = each.core->Log().Membership();
+    if (IsOpen()) {
+      return each.state.index == oracle_.CommittedCount() &&
+             membership.Find(each.core->Self()) != nullptr &&
+             membership.VoterCount() == founders_;
+    }
     return each.state.index == oracle_.CommittedCount() &&
            membership.members.size() == replicas_.size() &&
            membership.IsVoter(each.core->Self());
--- a/tests/support/core_group.h
+++ b/tests/support/core_group.h
@@ -27,6 +27,10 @@
   static constexpr std::uint32_t kKinds = 128;
 
   core_group(std::size_t replicas, bool formed);
+  // An open group: the first `founders` are configured everywhere and found the
+  // cluster, the others ask to be taken in and replace voters that stay silent.
+  static std::unique_ptr<core_group> MakeOpenGroup(std::size_t replicas,
+                                                   std::size_t founders);
 
   void Step(std::uint32_t choice);
   // Ends all faults and lets the group run until every replica has applied all
@@ -74,11 +78,14 @@
   void ApplyOutput(replica& target, const replica_output& output);
   [[nodiscard]] bool MayLose(const replica& target,
                              const replica_identity& instead) const;
+  core_group(std::size_t replicas, std::size_t founders, bool formed);
   [[nodiscard]] replica_options MakeOptions(std::size_t at) const;
+  [[nodiscard]] bool IsOpen() const { return founders_ < names_.size(); }
   [[nodiscard]] std::size_t IndexOf(const replica& target) const;
   [[nodiscard]] bool IsSettled() const;
 
   seeded_random_source random_;
+  std::size_t founders_ = 0;
   std::vector<std::string> names_;
   std::vector<replica> replicas_;
   std::vector<flying_message> flying_;
