--- a/include/hornbeam/load_report.h
+++ b/include/hornbeam/load_report.h
@@ -21,6 +21,8 @@
   // How long work takes now, in hundredths of the usual time, as the upstream
   // itself says; 100 where it says nothing.
   std::uint32_t slowdown_percent = 100;
+  // Until a slot is expected for a call that comes now, behind all that waits.
+  std::uint32_t backlog_us = 0;
   bool draining = false;
 
   bool operator==(const load_report&) const = default;
@@ -30,7 +32,7 @@
     archive(incarnation, sequence, slot_limit, running_short, running_long,
             queued_short, queued_long, service_time_short_us,
             service_time_long_us, failure_per_mille, slowdown_percent,
-            draining);
+            backlog_us, draining);
   }
 };
 
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -14,7 +14,8 @@
     {event_id::kCallRouted, "call_routed", kInfo,
      "The ingress node chose an upstream for a call."},
     {event_id::kCallRerouted, "call_rerouted", kInfo,
-     "A refused or failed call was sent to another upstream."},
+     "A dispatch gave no answer; another upstream may follow, or the caller "
+     "is told."},
     {event_id::kCallEnded, "call_ended", kInfo,
      "The ingress node answered its caller."},
     {event_id::kCallHedged, "call_hedged", kInfo,
--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -26,7 +26,9 @@
 // Weight of one call in the usual time of its route.
 constexpr double kTimeWeight = 0.1;
 // Before a route's time was measured: this share of its objective.
-constexpr double kFirstGuess = 0.4;
+constexpr double kFirstGuess = 0.25;
+// Longer waits are told as this one.
+constexpr std::uint64_t kMostBacklogUs = 60'000'000;
 // The queue lets go of a call by its deadline; this covers late wake-ups.
 constexpr duration kQueueGrace = std::chrono::milliseconds(50);
 // Calls whose time is below this share of the longest route's are brief.
@@ -365,6 +367,8 @@
   report.queued_short = static_cast<std::uint32_t>(life_->queue.Waiting());
   report.service_time_short_us = static_cast<std::uint32_t>(life_->mean_us);
   report.slowdown_percent = life_->speed.Percent();
+  report.backlog_us = static_cast<std::uint32_t>(std::min<std::uint64_t>(
+      ToMicroseconds(life_->queue.Backlog()), kMostBacklogUs));
   return report;
 }
 
--- a/src/controllers/routed_ingress.cc
+++ b/src/controllers/routed_ingress.cc
@@ -158,11 +158,11 @@
   const duration timeout = std::chrono::microseconds(definition.timeout_us);
   call.deadline =
       call.started + std::min(asked.time_left.value_or(timeout), timeout);
-  call.objective_at =
-      call.started +
-      ObjectiveLeft(found->name,
-                    std::chrono::microseconds(definition.objective_us),
-                    asked.time_left);
+  call.objective_at = std::min(
+      call.deadline, call.started + ObjectiveLeft(found->name,
+                                                  std::chrono::microseconds(
+                                                      definition.objective_us),
+                                                  asked.time_left));
   call.service = parts_.Next(found->name, definition);
   call.headers = codec_.MakeForwardedFields(request, own_service_);
   Repeats(call.service).RecordCall();
@@ -219,6 +219,7 @@
               .headers = std::move(ended.end.headers),
               .body = std::move(ended.body)};
     }
+    LogMiss(call, *choice, ended);
     if (ended.end.fate == outcome::kNotRun && IsRefusal(last)) {
       if (choice->settles) {
         return Fail(call, failure_kind::kRejected, ReasonName(last));
@@ -283,6 +284,8 @@
               {"reason", reason},
               {"tried", call.tried.size()},
               {"refused", call.refused_late.size()},
+              {"left_ms", (call.deadline - now).count() / 1000},
+              {"objective_left_ms", (call.objective_at - now).count() / 1000},
               {"retry_ms", failure.retry_after.count() / 1000},
               {"ms", (now - call.started).count() / 1000}});
   return codec_.WriteFailure(failure, call.caller_id);
@@ -383,6 +386,27 @@
           .sent = true};
 }
 
+// What the serving node said of its load with its refusal decided it there.
+void routed_ingress::LogMiss(const routed_call& call,
+                             const attempt_choice& choice,
+                             const call_result& ended) {
+  const load_report& load = ended.end.load;
+  log_.Write(
+      event_id::kCallRerouted,
+      {{"request", call.caller_id},
+       {"service", call.service},
+       {"from", choice.upstream.node},
+       {"instance", choice.instance},
+       {"fate", ended.end.fate == outcome::kNotRun ? "not run" : "unknown"},
+       {"reason", ReasonName(ended.end.reason)},
+       {"settles", choice.settles},
+       {"running", load.running_short},
+       {"queued", load.queued_short},
+       {"limit", load.slot_limit},
+       {"usual_ms", load.service_time_short_us / 1000},
+       {"slowdown_percent", load.slowdown_percent}});
+}
+
 void routed_ingress::RecordEnd(const routed_call& call,
                                const attempt_choice& choice,
                                const call_result& ended) {
@@ -436,7 +460,7 @@
                               .reported = each.reported,
                               .report_age = now - each.reported_at,
                               .own_since = each.own_since};
-    least = std::min(least, ExpectedWaitAt(seen, options_.placement));
+    least = std::min(least, BacklogAt(seen, options_.placement));
   }
   return least == duration::max() ? kLongestPatience : least;
 }
--- a/src/controllers/routed_ingress.h
+++ b/src/controllers/routed_ingress.h
@@ -84,6 +84,8 @@
   std::optional<attempt_choice> Choose(const routed_call& call);
   call_result Dispatch(const routed_call& call, const attempt_choice& choice);
   call_result DispatchLocal(const call_start& start, const routed_call& call);
+  void LogMiss(const routed_call& call, const attempt_choice& choice,
+               const call_result& ended);
   void RecordEnd(const routed_call& call, const attempt_choice& choice,
                  const call_result& ended);
   bool MayRepeat(routed_call& call, const call_result& ended);
--- a/src/policy/crest_queue.cc
+++ b/src/policy/crest_queue.cc
@@ -71,6 +71,16 @@
   return opens + duration(static_cast<std::int64_t>(calls * mean_us / limit_));
 }
 
+duration crest_queue::Backlog() const {
+  if (limit_ == 0) return duration(0);
+  const duration opens = shut_ ? reopens_in_ : duration(0);
+  const double busy = static_cast<double>(running_) - limit_ + 1;
+  const double calls =
+      std::max(static_cast<double>(waiting_.size()) + busy, 0.0);
+  return opens + duration(static_cast<std::int64_t>(calls * mean_expected_us_ /
+                                                    limit_));
+}
+
 crest_decision crest_queue::Offer(const crest_call& call, time_point now) {
   entry offered{.call = call, .start_by = StartBy(call, now)};
   if (offered.start_by < now) MakeLate(offered, now);
@@ -99,7 +109,7 @@
     decision.verdict = crest_verdict::kLate;
   } else {
     decision.verdict = crest_verdict::kQueued;
-    Insert(std::move(offered));
+    Insert(offered);
   }
   return decision;
 }
@@ -115,11 +125,11 @@
                               static_cast<double>(left.count())));
 }
 
-void crest_queue::Insert(entry added) {
+void crest_queue::Insert(const entry& added) {
   const auto place = std::ranges::upper_bound(
       waiting_, added,
       [this](const entry& a, const entry& b) { return Before(a, b); });
-  waiting_.insert(place, std::move(added));
+  waiting_.insert(place, added);
 }
 
 crest_change crest_queue::Release(time_point now) {
@@ -146,7 +156,7 @@
     }
     return true;
   });
-  for (entry& each : now_late) Insert(std::move(each));
+  for (const entry& each : now_late) Insert(each);
   return change;
 }
 
@@ -157,7 +167,7 @@
   while (true) {
     const auto found = std::ranges::find_if(waiting_, has_slot);
     if (found == waiting_.end()) return;
-    const entry next = std::move(*found);
+    const entry next = *found;
     waiting_.erase(found);
     ++running_;
     const auto expected = static_cast<double>(next.call.expected.count());
--- a/src/policy/crest_queue.h
+++ b/src/policy/crest_queue.h
@@ -78,6 +78,8 @@
   // Refuses everything that waits.
   std::vector<request_id> Clear();
 
+  // Until a slot is expected behind everything that waits.
+  [[nodiscard]] duration Backlog() const;
   // When Advance is due next; nothing while no call waits.
   [[nodiscard]] std::optional<time_point> NextChange() const;
   [[nodiscard]] std::size_t Running() const { return running_; }
@@ -96,7 +98,7 @@
   [[nodiscard]] bool HasSlot(const crest_call& call) const;
   [[nodiscard]] duration ExpectedWait(const entry& offered) const;
   static void MakeLate(entry& each, time_point now);
-  void Insert(entry added);
+  void Insert(const entry& added);
   void Fill(crest_change& change);
 
   std::uint32_t limit_ = 0;
--- a/src/policy/near_first.cc
+++ b/src/policy/near_first.cc
@@ -19,6 +19,14 @@
 
 }  // namespace
 
+duration BacklogAt(const near_candidate& candidate,
+                   const near_first_options& options) {
+  const duration stated =
+      std::chrono::microseconds(candidate.report.backlog_us);
+  const duration left = stated - candidate.report_age;
+  return std::max({left, ExpectedWaitAt(candidate, options), duration(0)});
+}
+
 duration ExpectedWaitAt(const near_candidate& candidate,
                         const near_first_options& options) {
   const load_report& report = candidate.report;
--- a/src/policy/near_first.h
+++ b/src/policy/near_first.h
@@ -46,6 +46,10 @@
 duration ExpectedWaitAt(const near_candidate& candidate,
                         const near_first_options& options);
 
+// The wait for a slot behind everything that waits there: a rejected caller's.
+duration BacklogAt(const near_candidate& candidate,
+                   const near_first_options& options);
+
 // The share of the wait that its objective leaves which a call may use up near
 // by, when `bytes` of request and answer would cross zones.
 double NearWaitShare(double bytes, const near_first_options& options);
--- a/src/replication/peer_progress.h
+++ b/src/replication/peer_progress.h
@@ -36,6 +36,7 @@
   std::deque<std::uint64_t> in_flight;  // Last index of each message.
   std::optional<snapshot_transfer> transfer;
   std::uint64_t read_sequence = 0;  // The latest that came back.
+  time_point known_since;           // By the present leader.
   time_point last_heard;
   bool heard = false;
 
--- a/src/replication/replica_core.cc
+++ b/src/replication/replica_core.cc
@@ -193,7 +193,6 @@
   assert(role_ != replica_role::kLeader);
   BecomeFollower(message.term, message.from);
   leader_heard_at_ = now_;
-  heard_leader_ = true;
   ResetElectionDeadline();
   return true;
 }
--- a/src/replication/replica_core.h
+++ b/src/replication/replica_core.h
@@ -163,8 +163,9 @@
   void ConsiderMembership();
   bool DropAbandonedLearner(replica_membership& membership) const;
   bool AdmitLearner(replica_membership& membership) const;
-  bool AdmitNewName(replica_membership& membership,
+  bool AdmitNewName(const replica_membership& membership,
                     replica_member& learner) const;
+  bool DropSurplusVoter(replica_membership& membership) const;
   [[nodiscard]] bool IsSilent(const replica_identity& id) const;
   void ChangeMembership(replica_membership membership);
   void ConsiderNewReplica(const replica_identity& replica);
@@ -195,7 +196,7 @@
   std::optional<replica_identity> leader_;
   time_point election_deadline_;
   time_point leader_heard_at_;
-  bool heard_leader_ = false;  // Since this process started.
+  bool waited_first_ = false;  // For a leader to show itself after the start.
   cluster_discovery discovery_;
   time_point next_hello_;
   std::string told_leader_;  // As another replica named it; may be empty.
--- a/src/replication/replica_core_election.cc
+++ b/src/replication/replica_core_election.cc
@@ -1,6 +1,8 @@
 // How a replica finds or founds a cluster, and how it comes to lead.
 #include <algorithm>
 #include <cassert>
+#include <set>
+#include <string>
 #include <utility>
 
 #include "hornbeam/random_source.h"
@@ -18,14 +20,22 @@
 
 // ---- Formation ----
 
+// To whoever may know a leader: the configured names, the members that the own
+// log knows, and the leader that another replica named.
 void replica_core::SendHellos() {
   next_hello_ = now_ + options_.heartbeat_interval;
-  for (const std::string& name : options_.configured_names) {
-    if (name == self_.name || name == told_leader_) continue;
+  std::set<std::string> names(options_.configured_names.begin(),
+                              options_.configured_names.end());
+  if (options_.wanted_voters > 0) {
+    for (const replica_member& member : log_.Membership().members) {
+      names.insert(member.identity.name);
+    }
+    if (!told_leader_.empty()) names.insert(told_leader_);
+  }
+  names.erase(self_.name);
+  for (const std::string& name : names) {
     Send({.name = name, .incarnation = 0}, hello_request{});
   }
-  if (told_leader_.empty() || told_leader_ == self_.name) return;
-  Send({.name = told_leader_, .incarnation = 0}, hello_request{});
 }
 
 void replica_core::TryForm() {
@@ -72,20 +82,21 @@
 
 // ---- Elections ----
 
-// A replica that has just started waits only for as long as a leader would need
-// to show itself: after a loss of all power nobody leads. The pre-vote keeps it
-// from disturbing one that does.
+// A replica that has just started waits, once, only for as long as a leader
+// would need to show itself: after a loss of all power nobody leads. The
+// pre-vote keeps it from disturbing one that does.
 void replica_core::ResetElectionDeadline() {
   const duration least =
-      heard_leader_ ? options_.election_timeout
+      waited_first_ ? options_.election_timeout
                     : std::min(options_.heartbeat_interval * kFirstHeartbeats,
                                options_.election_timeout);
   const duration spread =
-      heard_leader_ ? options_.election_timeout : options_.election_timeout / 2;
+      waited_first_ ? options_.election_timeout : options_.election_timeout / 2;
   const auto bound = static_cast<std::uint64_t>(spread.count());
   election_deadline_ =
       now_ + least +
       duration(random_.NextBelow(std::max<std::uint64_t>(bound, 1)));
+  waited_first_ = true;
 }
 
 void replica_core::Campaign(bool pre_vote) {
--- a/src/replication/replica_core_leader.cc
+++ b/src/replication/replica_core_leader.cc
@@ -67,7 +67,9 @@
   for (const replica_member& member : membership.members) {
     if (member.identity == self_) continue;
     const auto [peer, added] = peers_.try_emplace(member.identity);
-    if (added) peer->second.next_index = log_.LastIndex() + 1;
+    if (!added) continue;
+    peer->second.next_index = log_.LastIndex() + 1;
+    peer->second.known_since = now_;
   }
 }
 
@@ -320,7 +322,8 @@
 void replica_core::ConsiderMembership() {
   if (!MayChangeMembership()) return;
   replica_membership changed = log_.Membership();
-  if (DropAbandonedLearner(changed) || AdmitLearner(changed)) {
+  if (DropAbandonedLearner(changed) || DropSurplusVoter(changed) ||
+      AdmitLearner(changed)) {
     ChangeMembership(std::move(changed));
   }
 }
@@ -356,29 +359,67 @@
   return true;
 }
 
-// Fills up the wanted number, or takes the place of a voter that stays silent.
-bool replica_core::AdmitNewName(replica_membership& membership,
+// Fills up the wanted number, or stands in for a voter that stays silent. That
+// one goes only afterwards: it may come back, and until then it may be needed.
+bool replica_core::AdmitNewName(const replica_membership& membership,
                                 replica_member& learner) const {
+  const std::size_t voters = membership.VoterCount();
+  const auto is_gone = [&](const replica_member& member) {
+    return member.voter && IsSilent(member.identity);
+  };
+  const bool stands_in = voters == options_.wanted_voters &&
+                         std::ranges::any_of(membership.members, is_gone);
+  if (options_.wanted_voters > 0 && voters >= options_.wanted_voters &&
+      !stands_in) {
+    return false;
+  }
+  learner.voter = true;
+  return true;
+}
+
+// One voter too many: the silent one goes, or one that nobody configured is a
+// learner again.
+bool replica_core::DropSurplusVoter(replica_membership& membership) const {
   if (options_.wanted_voters == 0 ||
-      membership.VoterCount() < options_.wanted_voters) {
-    learner.voter = true;
-    return true;
+      membership.VoterCount() <= options_.wanted_voters) {
+    return false;
   }
-  const auto is_gone = [&](const replica_member& member) {
+  auto& members = membership.members;
+  const auto is_silent = [&](const replica_member& member) {
     return member.voter && IsSilent(member.identity);
   };
-  const auto gone = std::ranges::find_if(membership.members, is_gone);
-  if (gone == membership.members.end()) return false;
-  membership.members.erase(gone);
+  const auto silent = std::ranges::find_if(members, is_silent);
+  if (silent != members.end()) {
+    members.erase(silent);
+    return true;
+  }
+  const auto is_other = [&](const replica_member& member) {
+    return member.voter && member.identity != self_;
+  };
+  const auto is_spare = [&](const replica_member& member) {
+    return is_other(member) &&
+           std::ranges::find(options_.configured_names, member.identity.name) ==
+               options_.configured_names.end();
+  };
+  const auto everyone_heard =
+      std::ranges::all_of(members, [&](const replica_member& member) {
+        return !member.voter || WasHeardLately(member.identity);
+      });
+  auto spare = std::ranges::find_if(members, is_spare);
+  if (spare == members.end()) spare = std::ranges::find_if(members, is_other);
+  if (!everyone_heard || spare == members.end()) return false;
+  spare->voter = false;
   return true;
 }
 
 bool replica_core::IsSilent(const replica_identity& id) const {
   if (id == self_) return false;
+  time_point since = led_since_;
   const auto peer = peers_.find(id);
-  const bool was_heard = peer != peers_.end() && peer->second.heard;
-  const time_point since =
-      was_heard ? std::max(peer->second.last_heard, led_since_) : led_since_;
+  if (peer != peers_.end()) since = std::max(since, peer->second.known_since);
+  if (peer != peers_.end() && peer->second.heard) {
+    since = std::max(since, peer->second.last_heard);
+  }
   return now_ - since >= options_.replace_silent_after;
 }
 
--- a/src/replication/replica_options.h
+++ b/src/replication/replica_options.h
@@ -24,8 +24,8 @@
   // are named. Without that, one with an empty disk waits to be taken in.
   bool may_found = true;
   // Voters that the store should have; replicas that nobody configured join as
-  // learners, fill up this number and take the place of voters that stay
-  // silent. 0: the configured names and no others.
+  // learners, fill up this number and stand in for voters that stay silent. 0:
+  // the configured names and no others.
   std::size_t wanted_voters = 0;
   // A voter that is silent for so long gives its place to a learner that has
   // caught up.
--- a/src/routing/routing_snapshot.cc
+++ b/src/routing/routing_snapshot.cc
@@ -30,10 +30,10 @@
     by_host_[HostKey(definition.host)].push_back({name, &definition});
   }
   for (auto& [host, routes] : by_host_) {
-    std::ranges::stable_sort(routes, std::ranges::greater(),
-                             [](const named_route& each) {
-                               return each.definition->path_prefix.size();
-                             });
+    std::ranges::sort(routes, std::ranges::greater(),
+                      [](const named_route& each) {
+                        return each.definition->path_prefix.size();
+                      });
   }
 }
 
--- a/tests/crest_queue_test.cc
+++ b/tests/crest_queue_test.cc
@@ -186,6 +186,13 @@
   BOOST_TEST(queue.Open(kStart).admitted.size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(the_backlog_counts_what_waits) {
+  crest_queue queue = MakeFull();
+  BOOST_TEST((queue.Backlog() == milliseconds(200)));
+  queue.Offer(MakeCall(1, kStart), kStart);
+  BOOST_TEST((queue.Backlog() == milliseconds(400)));
+}
+
 BOOST_AUTO_TEST_CASE(a_cancelled_call_never_runs) {
   crest_queue queue = MakeFull();
   queue.Offer(MakeCall(1, kStart), kStart);
--- a/tests/near_first_test.cc
+++ b/tests/near_first_test.cc
@@ -67,6 +67,14 @@
               ExpectedWaitAt(MakeCandidate(true, 30), kOptions)));
 }
 
+BOOST_AUTO_TEST_CASE(a_stated_backlog_runs_off) {
+  near_candidate cold = MakeCandidate(true, 0);
+  cold.report.service_time_short_us = 0;  // Nothing was measured there yet.
+  cold.report.backlog_us = 800'000;
+  cold.report_age = milliseconds(300);
+  BOOST_TEST((BacklogAt(cold, kOptions) == milliseconds(500)));
+}
+
 BOOST_AUTO_TEST_CASE(own_dispatches_since_the_report_count) {
   near_candidate busy = MakeCandidate(true, 13);
   busy.own_since = 20;
--- a/tests/replica_host_test.cc
+++ b/tests/replica_host_test.cc
@@ -136,13 +136,14 @@
         : group_(group), name_(std::move(name)) {}
 
     void Send(std::string_view peer, std::string bytes) override {
-      group_.tasks_.Post(
-          [this, to = std::string(peer), bytes = std::move(bytes)] {
-            const auto host = group_.hosts_.find(to);
-            if (host == group_.hosts_.end()) return;
-            if (!group_.hosts_.contains(name_)) return;
-            host->second->OnMessage(name_, bytes);
-          });
+      // The message outlives a transport whose host is replaced.
+      group_.tasks_.Post([&group = group_, from = name_, to = std::string(peer),
+                          bytes = std::move(bytes)] {
+        const auto host = group.hosts_.find(to);
+        if (host == group.hosts_.end()) return;
+        if (!group.hosts_.contains(from)) return;
+        host->second->OnMessage(from, bytes);
+      });
     }
 
    private:
