Parts of a route follow their weights from the first call

Cause, found by parts_get_their_weights_over_few_calls: nodes began in a phase in which the small part of a 90:10 split came at the fifth call nine times in ten: 35 of 200 calls over 40 nodes in place of 20. Now each call of a node follows the weights, and its calls step evenly (golden ratio).

--- a/src/routing/weighted_choice.cc
+++ b/src/routing/weighted_choice.cc
@@ -1,6 +1,7 @@
 #include "routing/weighted_choice.h"
 
 #include <algorithm>
+#include <cmath>
 #include <functional>
 #include <numeric>
 
@@ -8,6 +9,13 @@
 
 namespace hornbeam {
 
+namespace {
+
+// Multiples of the golden ratio's fraction fill the unit interval evenly.
+constexpr double kStride = 0.6180339887498949;
+
+}  // namespace
+
 const std::string& weighted_choice::Next(const std::string& name,
                                          const route& definition) {
   const auto& parts = definition.parts;
@@ -15,25 +23,16 @@
   const double total = std::transform_reduce(
       parts.begin(), parts.end(), 0.0, std::plus<>(),
       [](const weighted_service& part) { return part.weight; });
-  share& current = shares_[name];
-  if (current.parts != parts) {
-    current.parts = parts;
-    current.owed.assign(parts.size(), 0);
-    double offset = random_.NextUnit();
-    // A random phase: as if a random share of a round had gone by already.
-    for (std::size_t i = 0; i < parts.size(); ++i) {
-      const double weight = parts[i].weight / total;
-      current.owed[i] = offset < weight && offset >= 0 ? weight - 1 : weight;
-      offset -= weight;
-    }
-  }
-  for (std::size_t i = 0; i < parts.size(); ++i) {
-    current.owed[i] += parts[i].weight / total;
-  }
-  const auto most = std::ranges::max_element(current.owed);
-  const auto chosen = static_cast<std::size_t>(most - current.owed.begin());
-  *most -= 1;
-  return current.parts[chosen].service;
+  const auto [entry, is_new] = positions_.try_emplace(name, 0.0);
+  double& position = entry->second;
+  position = is_new ? random_.NextUnit() : std::fmod(position + kStride, 1.0);
+  double left = position * total;
+  const auto chosen =
+      std::ranges::find_if(parts, [&left](const weighted_service& part) {
+        left -= part.weight;
+        return left < 0;
+      });
+  return chosen == parts.end() ? parts.front().service : chosen->service;
 }
 
 }  // namespace hornbeam
--- a/src/routing/weighted_choice.h
+++ b/src/routing/weighted_choice.h
@@ -1,10 +1,8 @@
 // Shares out the calls of a route among its parts.
 #pragma once
 
-#include <cstddef>
 #include <map>
 #include <string>
-#include <vector>
 
 #include "hornbeam/routing_table.h"
 
@@ -12,10 +10,10 @@
 
 class random_source;
 
-// Keeps to the weights within one call for each node and route, also over few
-// calls: each part collects its share with every call, and the part that is
-// owed most is next. Parts begin at random, so that nodes with few calls do not
-// all favour the same one. Not thread-safe.
+// Keeps close to the weights over few calls: the calls of a route step evenly
+// through the unit interval, of which each part owns its share. Each node
+// begins at random, so that over all nodes every single call follows the
+// weights. Not thread-safe.
 class weighted_choice {
  public:
   explicit weighted_choice(random_source& random) : random_(random) {}
@@ -24,13 +22,8 @@
   const std::string& Next(const std::string& name, const route& definition);
 
  private:
-  struct share {
-    std::vector<weighted_service> parts;
-    std::vector<double> owed;  // In calls, in the order of the parts.
-  };
-
   random_source& random_;
-  std::map<std::string, share> shares_;
+  std::map<std::string, double> positions_;  // By route, from 0 to 1.
 };
 
 }  // namespace hornbeam
