Frames: numbers take as few bytes as they need

Cause: a frame's numbers, lengths and tags went at full width; a load report took 57 bytes for about ten small figures, and bytes between zones are the dearest price at Aral. Files and replicated commands keep the full width: what stands on disks is read as before.

--- a/src/base/byte_archive.h
+++ b/src/base/byte_archive.h
@@ -1,7 +1,9 @@
 // cereal archives over byte strings, safe to use on bytes from anywhere.
 //
 // Include this only in the .cc files of codecs: cereal is slow to compile.
-// Numbers are written in little-endian order.
+// Numbers are written in little-endian order: at their full width, which files
+// and replicated commands keep, or in as few bytes as they need, which is for
+// connections.
 #pragma once
 
 #include <bit>
@@ -16,6 +18,7 @@
 #include <string>
 #include <string_view>
 #include <type_traits>
+#include <utility>
 
 #include "hornbeam/result.h"
 
@@ -31,19 +34,47 @@
   kBadValue,       // A tag or value is outside its range.
 };
 
+namespace detail {
+
+// From here on the first byte of a compact number tells how many follow.
+constexpr std::uint8_t kFirstCount = 248;
+constexpr int kMostBits = 64;
+
+}  // namespace detail
+
+enum class number_form : std::uint8_t { kFullWidth, kCompact };
+
 // Appends values to a byte string that the caller owns.
 class byte_writer
     : public cereal::OutputArchive<byte_writer,
                                    cereal::AllowEmptyClassElision> {
  public:
-  explicit byte_writer(std::string& out) : OutputArchive(this), out_(out) {}
+  explicit byte_writer(std::string& out,
+                       number_form form = number_form::kFullWidth)
+      : OutputArchive(this), out_(out), form_(form) {}
 
   void SaveBytes(const void* data, std::size_t size) {
     out_.append(static_cast<const char*>(data), size);
   }
 
+  // One byte, or the count of the bytes that follow and those.
+  void SaveCompact(std::uint64_t number) {
+    if (number < detail::kFirstCount) {
+      out_.push_back(static_cast<char>(number));
+      return;
+    }
+    const int size = (std::bit_width(number) + 7) / 8;
+    out_.push_back(static_cast<char>(detail::kFirstCount + size - 1));
+    SaveBytes(&number, static_cast<std::size_t>(size));
+  }
+
+  [[nodiscard]] bool IsCompact() const {
+    return form_ == number_form::kCompact;
+  }
+
  private:
   std::string& out_;
+  const number_form form_;
 };
 
 // Reads values from a byte string. Every fault is thrown as a
@@ -53,8 +84,9 @@
 class byte_reader
     : public cereal::InputArchive<byte_reader, cereal::AllowEmptyClassElision> {
  public:
-  explicit byte_reader(std::string_view bytes)
-      : InputArchive(this), rest_(bytes) {}
+  explicit byte_reader(std::string_view bytes,
+                       number_form form = number_form::kFullWidth)
+      : InputArchive(this), rest_(bytes), form_(form) {}
 
   void LoadBytes(void* data, std::size_t size) {
     if (size > rest_.size()) throw cereal::Exception("truncated");
@@ -62,15 +94,66 @@
     rest_.remove_prefix(size);
   }
 
+  std::uint64_t LoadCompact() {
+    std::uint8_t first = 0;
+    LoadBytes(&first, sizeof(first));
+    if (first < detail::kFirstCount) return first;
+    std::uint64_t number = 0;
+    LoadBytes(&number, first - detail::kFirstCount + 1U);
+    return number;
+  }
+
+  [[nodiscard]] bool IsCompact() const {
+    return form_ == number_form::kCompact;
+  }
   [[nodiscard]] std::size_t Remaining() const { return rest_.size(); }
 
  private:
   std::string_view rest_;
+  const number_form form_;
 };
 
+namespace detail {
+
+template <class T>
+constexpr bool kHasCompactForm = std::is_integral_v<T> && (sizeof(T) > 1);
+
+// Small negative numbers become small positive ones.
+template <class T>
+std::uint64_t ToCompact(T value) {
+  if constexpr (std::is_signed_v<T>) {
+    const auto wide = static_cast<std::int64_t>(value);
+    return (static_cast<std::uint64_t>(wide) << 1) ^
+           static_cast<std::uint64_t>(wide >> (kMostBits - 1));
+  } else {
+    return value;
+  }
+}
+
+template <class T>
+T FromCompact(std::uint64_t number) {
+  if constexpr (std::is_signed_v<T>) {
+    const auto wide =
+        static_cast<std::int64_t>((number >> 1) ^ (~(number & 1) + 1));
+    if (!std::in_range<T>(wide)) throw cereal::Exception("bad number");
+    return static_cast<T>(wide);
+  } else {
+    if (!std::in_range<T>(number)) throw cereal::Exception("bad number");
+    return static_cast<T>(number);
+  }
+}
+
+}  // namespace detail
+
 template <class T>
   requires std::is_arithmetic_v<T>
 void CEREAL_SAVE_FUNCTION_NAME(byte_writer& archive, const T& value) {
+  if constexpr (detail::kHasCompactForm<T>) {
+    if (archive.IsCompact()) {
+      archive.SaveCompact(detail::ToCompact(value));
+      return;
+    }
+  }
   archive.SaveBytes(&value, sizeof(value));
 }
 
@@ -83,6 +166,12 @@
     if (byte > 1) throw cereal::Exception("bad bool");
     value = byte == 1;
   } else {
+    if constexpr (detail::kHasCompactForm<T>) {
+      if (archive.IsCompact()) {
+        value = detail::FromCompact<T>(archive.LoadCompact());
+        return;
+      }
+    }
     archive.LoadBytes(&value, sizeof(value));
   }
 }
@@ -105,13 +194,13 @@
 void CEREAL_SAVE_FUNCTION_NAME(byte_writer& archive,
                                const cereal::SizeTag<T>& tag) {
   const auto size = static_cast<std::uint32_t>(tag.size);
-  archive.SaveBytes(&size, sizeof(size));
+  archive(size);
 }
 
 template <class T>
 void CEREAL_LOAD_FUNCTION_NAME(byte_reader& archive, cereal::SizeTag<T>& tag) {
   std::uint32_t size = 0;
-  archive.LoadBytes(&size, sizeof(size));
+  archive(size);
   if (size > archive.Remaining()) throw cereal::Exception("bad length");
   tag.size = size;
 }
@@ -130,9 +219,10 @@
 
 // The bytes of `value`.
 template <class T>
-std::string EncodeBytes(const T& value) {
+std::string EncodeBytes(const T& value,
+                        number_form form = number_form::kFullWidth) {
   std::string out;
-  byte_writer writer(out);
+  byte_writer writer(out, form);
   writer(value);
   return out;
 }
@@ -140,10 +230,11 @@
 // The value that `bytes` hold, whole and with nothing behind it, or why they
 // hold none.
 template <class T>
-result<T, decode_error> DecodeBytes(std::string_view bytes) {
+result<T, decode_error> DecodeBytes(
+    std::string_view bytes, number_form form = number_form::kFullWidth) {
   try {
     T value{};
-    byte_reader reader(bytes);
+    byte_reader reader(bytes, form);
     reader(value);
     if (reader.Remaining() != 0) return decode_error::kTrailingBytes;
     return value;
--- a/src/wire/frame_codec.cc
+++ b/src/wire/frame_codec.cc
@@ -31,7 +31,7 @@
 
 std::string EncodeFrame(const message& content) {
   std::string frame(kFrameHeaderBytes, '\0');
-  byte_writer writer(frame);
+  byte_writer writer(frame, number_form::kCompact);
   writer(content);
   const std::string_view body =
       std::string_view(frame).substr(kFrameHeaderBytes);
@@ -52,7 +52,7 @@
   if (Checksum(body) != ReadNumber(bytes.substr(sizeof(std::uint32_t)))) {
     return frame_error::kBadChecksum;
   }
-  auto decoded = DecodeBytes<message>(body);
+  auto decoded = DecodeBytes<message>(body, number_form::kCompact);
   if (!decoded) return frame_error::kBadMessage;
   used = kFrameHeaderBytes + size;
   return std::optional<message>(std::move(decoded).value());
--- a/tests/byte_archive_test.cc
+++ b/tests/byte_archive_test.cc
@@ -2,6 +2,7 @@
 #include "base/byte_archive.h"
 
 #include <boost/test/unit_test.hpp>
+#include <limits>
 #include <optional>
 #include <variant>
 
@@ -64,6 +65,40 @@
       (DecodeBytes<std::string>(bytes).error() == decode_error::kBadLength));
 }
 
+BOOST_AUTO_TEST_CASE(compact_numbers_come_back_as_they_went) {
+  using limits = std::numeric_limits<std::int64_t>;
+  for (const std::int64_t number :
+       {std::int64_t{0}, std::int64_t{1}, std::int64_t{-1}, std::int64_t{123},
+        std::int64_t{124}, std::int64_t{-300}, std::int64_t{1} << 40,
+        limits::min(), limits::max()}) {
+    const std::string bytes = EncodeBytes(number, number_form::kCompact);
+    const auto read = DecodeBytes<std::int64_t>(bytes, number_form::kCompact);
+    BOOST_REQUIRE(read.has_value());
+    BOOST_TEST(read.value() == number);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(compact_values_take_a_third_of_the_bytes) {
+  const std::string bytes = EncodeBytes(MakeSample(), number_form::kCompact);
+  BOOST_TEST(bytes.size() * 3 <= EncodeBytes(MakeSample()).size());
+  const auto decoded = DecodeBytes<sample>(bytes, number_form::kCompact);
+  BOOST_REQUIRE(decoded.has_value());
+  BOOST_TEST((decoded.value().reports == MakeSample().reports));
+  for (std::size_t size = 0; size < bytes.size(); ++size) {
+    BOOST_TEST(!DecodeBytes<sample>(std::string_view(bytes).substr(0, size),
+                                    number_form::kCompact)
+                    .has_value());
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_compact_number_out_of_its_range_is_an_error) {
+  const std::string bytes =
+      EncodeBytes(std::uint32_t{70000}, number_form::kCompact);
+  BOOST_TEST(
+      (DecodeBytes<std::uint16_t>(bytes, number_form::kCompact).error() ==
+       decode_error::kBadValue));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hornbeam
