--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -80,9 +80,20 @@
   // Services watched, with the version of the leases that was last pushed.
   std::map<std::string, std::uint64_t>& Watched() { return watched_; }
 
-  void WatchRouting() { watches_routing_ = true; }
+  // `known_version` is what the watcher has.
+  void WatchRouting(std::uint64_t known_version) {
+    watches_routing_ = true;
+    routing_version_ = known_version;
+  }
   [[nodiscard]] bool WatchesRouting() const { return watches_routing_; }
 
+  void PushRouting(const routing_feed& feed) {
+    if (routing_version_ >= feed.Version()) return;
+    const bool sent = connection_ != nullptr &&
+                      connection_->TrySend(feed.UpdateFor(routing_version_));
+    if (sent) routing_version_ = feed.Version();
+  }
+
  private:
   void Greet(frame_connection& connection, const hello& greeting) {
     if (greeting.protocol_version != kProtocolVersion) {
@@ -114,7 +125,11 @@
     } else if (const auto* envelope = std::get_if<replica_envelope>(&content)) {
       service_.HandleReplica(sender_, *envelope);
     } else if (const auto* batch = std::get_if<lease_batch>(&content)) {
-      service_.HandleBatch(*batch);
+      service_.HandleBatch(sender_, *batch);
+    } else if (const auto* pulse = std::get_if<lease_pulse>(&content)) {
+      service_.HandlePulse(sender_, *pulse);
+    } else if (std::holds_alternative<lease_recall>(content)) {
+      service_.HandleRecall(sender_);
     } else if (const auto* asked = std::get_if<ping>(&content)) {
       connection.TrySend(pong{asked->nonce});
     }
@@ -124,6 +139,7 @@
   std::string sender_;
   frame_connection* connection_ = nullptr;
   bool watches_routing_ = false;
+  std::uint64_t routing_version_ = 0;  // Last known to the watcher.
   std::map<std::string, std::uint64_t> watched_;
 };
 
@@ -142,7 +158,9 @@
       started_at_(clock.Now()),
       passed_on_at_(started_at_),
       connected_at_(started_at_),
-      last_round_at_(started_at_) {}
+      last_round_at_(started_at_) {
+  places_.SetZone(options_.own_address, options_.availability_zone);
+}
 
 control_service::~control_service() = default;
 
@@ -223,9 +241,12 @@
 
 void control_service::PassOnLeases(time_point now) {
   if (now - passed_on_at_ < options_.lease_interval) return;
-  auto copies = leases_.RenewedSince(passed_on_at_, now);
+  auto ended = leases_.EndedSince(passed_on_at_, now);
   passed_on_at_ = now;
-  if (!copies.empty()) mesh_.Broadcast(lease_batch{std::move(copies)});
+  if (!ended.empty()) mesh_.Broadcast(lease_batch{std::move(ended)});
+  lease_pulse pulse = leases_.MakePulse(now);
+  pulse.availability_zone = options_.availability_zone;
+  mesh_.Broadcast(pulse);
 }
 
 void control_service::HandleLease(frame_connection& connection,
@@ -250,7 +271,8 @@
               {"draining", renewal.lease.draining}});
 }
 
-void control_service::HandleBatch(const lease_batch& batch) {
+void control_service::HandleBatch(const std::string& sender,
+                                  const lease_batch& batch) {
   const time_point now = clock_.Now();
   for (const lease_copy& copy : batch.leases) {
     const upstream_lease& lease = copy.renewal.lease;
@@ -258,11 +280,22 @@
       leases_.End(lease.node, lease.incarnation, now);
       continue;
     }
-    leases_.Renew(copy.renewal, lease_source::kOther,
-                  std::chrono::microseconds(copy.age_us), now);
+    leases_.RenewCopy(copy, sender, now);
   }
 }
 
+void control_service::HandlePulse(const std::string& sender,
+                                  const lease_pulse& pulse) {
+  if (places_.SetZone(sender, pulse.availability_zone)) PushControlList();
+  if (leases_.ApplyPulse(sender, pulse, clock_.Now())) return;
+  mesh_.Send(sender, lease_recall{});
+}
+
+void control_service::HandleRecall(const std::string& sender) {
+  mesh_.Send(sender,
+             lease_batch{leases_.HomeCopies(passed_on_at_, clock_.Now())});
+}
+
 void control_service::HandleWatch(session& watcher,
                                   const service_watch& watch) {
   if (watcher.Watched().size() >= kMostWatches) watcher.Watched().clear();
@@ -345,29 +378,29 @@
 
 void control_service::HandleRoutingWatch(session& watcher,
                                          const routing_watch& watch) {
-  watcher.WatchRouting();
-  watcher.Push(control_list{members_});
+  watcher.WatchRouting(watch.known_version);
+  watcher.Push(places_.List());
   // What is committed here but not pushed yet follows with the next round.
-  if (stores_.routing == nullptr || pushed_routing_ == 0) return;
-  if (watch.known_version >= pushed_routing_) return;
-  watcher.Push(routing_update{.version = pushed_routing_,
-                              .table = stores_.routing->QueryStale(
-                                  EncodeRoutingQuery(routing_query::kTable))});
+  watcher.PushRouting(routing_feed_);
 }
 
 void control_service::PushRouting() {
   if (stores_.routing == nullptr) return;
+  TakeRouting();
+  for (session* each : sessions_) {
+    if (each->WatchesRouting()) each->PushRouting(routing_feed_);
+  }
+}
+
+void control_service::TakeRouting() {
   const auto version = DecodeRoutingVersion(
       stores_.routing->QueryStale(EncodeRoutingQuery(routing_query::kVersion)));
-  if (!version || *version <= pushed_routing_) return;
-  pushed_routing_ = *version;
+  if (!version || *version <= routing_feed_.Version()) return;
+  auto table = DecodeRoutingTable(
+      stores_.routing->QueryStale(EncodeRoutingQuery(routing_query::kTable)));
+  if (!table) return;
   log_.Write(event_id::kRoutingAccepted, {{"version", *version}});
-  const routing_update update{.version = *version,
-                              .table = stores_.routing->QueryStale(
-                                  EncodeRoutingQuery(routing_query::kTable))};
-  for (session* each : sessions_) {
-    if (each->WatchesRouting()) each->Push(update);
-  }
+  routing_feed_.Take(std::move(*table));
 }
 
 // The other control VMs change as machines are replaced.
@@ -376,14 +409,15 @@
   std::vector<std::string> names;
   std::ranges::transform(stores_.routing->Status().replicas,
                          std::back_inserter(names), &replica_peer_status::name);
-  std::ranges::sort(names);
-  const auto repeated = std::ranges::unique(names);
-  names.erase(repeated.begin(), repeated.end());
-  if (names.empty() || names == members_) return;
-  members_ = std::move(names);
-  mesh_.EnsurePeers(members_);
+  if (!places_.SetMembers(std::move(names))) return;
+  mesh_.EnsurePeers(places_.Members());
+  PushControlList();
+}
+
+void control_service::PushControlList() {
+  const control_list list = places_.List();
   for (session* each : sessions_) {
-    if (each->WatchesRouting()) each->Push(control_list{members_});
+    if (each->WatchesRouting()) each->Push(list);
   }
 }
 
--- a/src/controllers/control_service.h
+++ b/src/controllers/control_service.h
@@ -7,7 +7,9 @@
 #include <unordered_set>
 #include <vector>
 
+#include "controllers/control_places.h"
 #include "controllers/lease_table.h"
+#include "controllers/routing_feed.h"
 #include "controllers/store_forwarder.h"
 #include "hornbeam/clock_source.h"
 #include "wire/call_link.h"
@@ -41,6 +43,9 @@
   duration lease_interval = std::chrono::milliseconds(1000);
   // Without a known leader for so long a control VM counts as cut off.
   duration isolation_limit = std::chrono::seconds(2);
+  // This control VM's own.
+  std::string availability_zone;
+  std::string own_address;  // "ip:port" of its peers listener.
 };
 
 // Accepts frames, keeps the leases, and pushes memberships and settings to the
@@ -74,7 +79,9 @@
                     const status_request& request);
   void HandleReplica(const std::string& sender,
                      const replica_envelope& envelope);
-  void HandleBatch(const lease_batch& batch);
+  void HandleBatch(const std::string& sender, const lease_batch& batch);
+  void HandlePulse(const std::string& sender, const lease_pulse& pulse);
+  void HandleRecall(const std::string& sender);
   void TickLoop();
   void LeaseLoop();
   void CheckIsolation(time_point now);
@@ -82,8 +89,10 @@
   void PushChanges();
   void PushSettings();
   void PushRouting();
+  void TakeRouting();
   void HandleRoutingWatch(session& watcher, const routing_watch& watch);
   void FollowMembers();
+  void PushControlList();
   void TurnNodesAway();
   void PushChange(const change_record& change);
   void PushMemberships();
@@ -110,8 +119,8 @@
   std::uint64_t pushed_revision_ = 0;
   std::uint64_t pushed_version_ = 0;
   bool pushed_settled_ = false;
-  std::uint64_t pushed_routing_ = 0;
-  std::vector<std::string> members_;  // Addresses of the control VMs.
+  routing_feed routing_feed_;
+  control_places places_;
   bool stopped_ = false;
   std::unordered_set<session*> sessions_;
 };
--- a/src/controllers/fleet_directory.cc
+++ b/src/controllers/fleet_directory.cc
@@ -9,6 +9,7 @@
 #include "base/event_log.h"
 #include "io/fiber_group.h"
 #include "routing/routing_codec.h"
+#include "routing/routing_rules.h"
 
 namespace hornbeam {
 
@@ -99,6 +100,7 @@
 
 void fleet_directory::LeaseLoop() {
   while (!stopped_) {
+    control_->SeekPreferredHome();
     SendLease();
     std::unique_lock lock(mutex_);
     changed_.wait_until(lock, clock_.Now() + options_.lease_interval,
@@ -143,9 +145,23 @@
   }
 }
 
+// The newer table; nothing when the update does not fit the present one.
+std::optional<routing_table> fleet_directory::ReadTable(
+    const routing_update& update) const {
+  if (update.base_version == 0) return DecodeRoutingTable(update.table);
+  const auto change = DecodeRoutingChange(update.table);
+  const bool fits = change && update.base_version == Version();
+  if (!fits) return std::nullopt;
+  return MergeRoutingChange(table_->Table(), *change);
+}
+
 void fleet_directory::TakeTable(const routing_update& update) {
-  auto table = DecodeRoutingTable(update.table);
-  if (!table || table->version <= Version()) return;
+  if (update.version <= Version()) return;
+  auto table = ReadTable(update);
+  if (!table) {
+    control_->SendHome(routing_watch{.known_version = Version()});
+    return;
+  }
   table_ = routing_snapshot::MakeRoutingSnapshot(std::move(*table));
   ++changes_;
   changed_.notify_all();
@@ -199,15 +215,20 @@
 
 void fleet_directory::TakeControlList(const control_list& list) {
   std::vector<endpoint> addresses;
-  for (const std::string& text : list.addresses) {
-    if (const auto address = endpoint::Parse(text)) {
-      addresses.push_back(*address);
+  std::vector<endpoint> near;
+  for (const control_place& place : list.places) {
+    const auto address = endpoint::Parse(place.address);
+    if (!address) continue;
+    addresses.push_back(*address);
+    if (place.availability_zone == self_.availability_zone) {
+      near.push_back(*address);
     }
   }
   if (control_->AddAddresses(addresses)) {
     log_.Write(event_id::kControlListChanged,
                {{"known", control_->ControlCount()}});
   }
+  control_->PreferHomes(near);
 }
 
 }  // namespace hornbeam
--- a/src/controllers/fleet_directory.h
+++ b/src/controllers/fleet_directory.h
@@ -6,6 +6,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -88,6 +89,8 @@
   void LeaseLoop();
   void SendLease();
   void WatchServices();
+  [[nodiscard]] std::optional<routing_table> ReadTable(
+      const routing_update& update) const;
   void TakeTable(const routing_update& update);
   void TakeMembers(const membership_update& update);
   void TakeControlList(const control_list& list);
--- a/src/controllers/lease_table.h
+++ b/src/controllers/lease_table.h
@@ -13,6 +13,9 @@
 
 namespace hornbeam {
 
+// Ages in a lease_pulse are counted in steps of this length.
+inline constexpr duration kPulseAgeStep = std::chrono::milliseconds(50);
+
 // How a lease came to this control VM.
 enum class lease_source : std::uint8_t {
   kNode,   // From the node itself: this control VM is its home.
@@ -32,6 +35,16 @@
   bool Renew(const lease_renewal& renewal, lease_source source, duration age,
              time_point now);
 
+  // Takes what the control VM `home` passes on of a node.
+  void RenewCopy(const lease_copy& copy, std::string_view home, time_point now);
+
+  // Tells the other control VMs that the leases renewed here are alive.
+  [[nodiscard]] lease_pulse MakePulse(time_point now) const;
+  // Renews all leases whose home is `home`; false when they are not those that
+  // the pulse speaks of.
+  bool ApplyPulse(std::string_view home, const lease_pulse& pulse,
+                  time_point now);
+
   // Ends the lease of that incarnation of the node, or of an older one.
   bool End(std::string_view node, std::uint64_t incarnation, time_point now);
 
@@ -51,9 +64,13 @@
   [[nodiscard]] membership_update ChangesSince(std::string_view service,
                                                std::uint64_t version) const;
 
-  // The leases that nodes renewed here since `since`, and those that ended.
-  [[nodiscard]] std::vector<lease_copy> RenewedSince(time_point since,
-                                                     time_point now) const;
+  // The leases that nodes renewed here, and those that ended here since
+  // `since`.
+  [[nodiscard]] std::vector<lease_copy> HomeCopies(time_point since,
+                                                   time_point now) const;
+  // Those that ended here since `since`.
+  [[nodiscard]] std::vector<lease_copy> EndedSince(time_point since,
+                                                   time_point now) const;
 
   [[nodiscard]] std::vector<node_summary> Summaries(time_point now) const;
 
@@ -65,12 +82,17 @@
   struct lease_record {
     lease_renewal renewal;
     lease_source source = lease_source::kNode;
+    std::string home;  // Who passed it on; empty for kNode.
     time_point renewed_at;
     std::uint64_t changed_at_version = 0;
     bool live = true;
   };
 
   void Touch(lease_record& record);
+  // The live leases of one home, this one when it is empty, by node name.
+  [[nodiscard]] std::vector<const lease_record*> LiveOf(
+      std::string_view home) const;
+  static std::uint64_t Digest(const std::vector<const lease_record*>& records);
 
   const duration lease_duration_;
   std::uint64_t version_ = 0;
--- a/src/daemon/control_daemon.cc
+++ b/src/daemon/control_daemon.cc
@@ -79,7 +79,9 @@
             .lease_duration = settings_.limits.lease_duration,
             .lease_interval = settings_.limits.lease_interval,
             .isolation_limit =
-                std::chrono::milliseconds(settings_.control.isolation_limit)});
+                std::chrono::milliseconds(settings_.control.isolation_limit),
+            .availability_zone = settings_.process.availability_zone,
+            .own_address = settings_.listen.peers.ToString()});
     if (!Listen()) return kExitBindFailed;
     mesh_.Start(fibers_);
     service_->Start(fibers_);
--- a/src/replication/replica_core.cc
+++ b/src/replication/replica_core.cc
@@ -72,12 +72,21 @@
   }
   if (role_ == replica_role::kUnformed) TryForm();
   if (IsForgotten() && now_ >= next_hello_) SendHellos();
-  if (!IsVoter()) return;
+  if (!IsVoter()) {
+    ForgetSilentLeader();
+    return;
+  }
   const bool alone =
       role_ == replica_role::kFollower && log_.Membership().VoterCount() == 1;
   if (alone || now_ >= election_deadline_) Campaign(true);
 }
 
+// A voter campaigns when it misses its leader; a learner that is cut off must
+// not go on believing in one.
+void replica_core::ForgetSilentLeader() {
+  if (now_ - leader_heard_at_ >= options_.election_timeout) leader_.reset();
+}
+
 // Whether this replica has to make itself known: nobody may count it as a
 // member.
 bool replica_core::IsForgotten() const {
--- a/src/replication/replica_core.h
+++ b/src/replication/replica_core.h
@@ -137,6 +137,7 @@
                       const std::optional<replica_identity>& leader);
   void BecomeLeader();
   [[nodiscard]] bool IsVoter() const;
+  void ForgetSilentLeader();
 
   // Following.
   bool FollowLeader(const replica_message& message);
@@ -196,7 +197,7 @@
   std::optional<replica_identity> leader_;
   time_point election_deadline_;
   time_point leader_heard_at_;
-  bool waited_first_ = false;  // For a leader to show itself after the start.
+  bool waited_first_ = false;    // For a leader to show itself after the start.
   cluster_discovery discovery_;
   time_point next_hello_;
   std::string told_leader_;  // As another replica named it; may be empty.
--- a/src/routing/routing_rules.cc
+++ b/src/routing/routing_rules.cc
@@ -63,10 +63,10 @@
   return faults;
 }
 
-result<routing_table, std::vector<std::string>> ApplyRoutingChange(
-    const routing_table& table, const routing_change& change) {
+routing_table MergeRoutingChange(routing_table table,
+                                 const routing_change& change) {
   routing_table next;
-  if (!change.whole) next = table;
+  if (!change.whole) next = std::move(table);
   if (change.whole) next.unread = change.unread;
   next.version = change.version;
   for (const std::string& name : change.removed_routes) next.routes.erase(name);
@@ -76,6 +76,12 @@
   for (const auto& [name, item] : change.routes) next.routes[name] = item;
   for (const auto& [name, item] : change.services) next.services[name] = item;
   if (change.limits) next.limits = *change.limits;
+  return next;
+}
+
+result<routing_table, std::vector<std::string>> ApplyRoutingChange(
+    const routing_table& table, const routing_change& change) {
+  routing_table next = MergeRoutingChange(table, change);
   auto faults = FindRoutingFaults(next);
   if (!faults.empty()) return faults;
   return next;
--- a/src/wire/control_client.cc
+++ b/src/wire/control_client.cc
@@ -2,7 +2,9 @@
 
 #include <algorithm>
 #include <cassert>
+#include <functional>
 #include <numeric>
+#include <optional>
 #include <unordered_map>
 #include <utility>
 
@@ -20,6 +22,8 @@
 constexpr duration kRoundDelay = std::chrono::milliseconds(25);
 // A control VM that did not reply is avoided for so long.
 constexpr duration kSuspectTime = std::chrono::seconds(5);
+// A home that was lost is tried again after so long.
+constexpr duration kLostHomeTime = std::chrono::seconds(3);
 // Control VMs that are kept in mind, with those that were replaced.
 constexpr std::size_t kMostChannels = 64;
 // One control VM has so long before another is asked.
@@ -43,11 +47,23 @@
 
   // Starts the link on first use: most processes talk to few control VMs.
   void EnsureStarted(fiber_group& fibers) {
+    link_.Wake();
     if (started_) return;
     started_ = true;
     link_.Start(fibers);
   }
 
+  // Keeps no connection until it is used again; one that serves requests keeps
+  // it.
+  void Rest() {
+    if (!serves_requests_) link_.Rest();
+  }
+  // A home that was lost lately is passed over while there is another.
+  void NoteLost(time_point now) { lost_at_ = now; }
+  [[nodiscard]] bool IsLost(time_point now) const {
+    return lost_at_ && now - *lost_at_ < kLostHomeTime;
+  }
+
   void SetFibers(fiber_group& fibers) { fibers_ = &fibers; }
   fiber_group& Fibers() { return *fibers_; }
 
@@ -66,6 +82,7 @@
                                         const message& request,
                                         time_point deadline) {
     EnsureStarted(*fibers_);
+    serves_requests_ = true;
     if (!link_.IsUp() && !link_.WaitUp(deadline)) {
       return store_error::kUnreachable;
     }
@@ -106,6 +123,8 @@
   control_client& owner_;
   fiber_group* fibers_ = nullptr;
   bool started_ = false;
+  bool serves_requests_ = false;
+  std::optional<time_point> lost_at_;
   time_point suspect_until_;
   std::unordered_map<std::uint64_t, fiber_signal<result<message, store_error>>*>
       waiting_;
@@ -285,18 +304,85 @@
   return store == store_id::kSettings ? settings_leader_ : ledger_leader_;
 }
 
+void control_client::PreferHomes(std::span<const endpoint> addresses) {
+  preferred_.assign(addresses.begin(), addresses.end());
+  if (preferred_.empty()) return;
+  // Nodes of one zone share its control VMs evenly.
+  const std::size_t first =
+      std::hash<std::string>()(self_.name) % preferred_.size();
+  std::ranges::rotate(preferred_,
+                      preferred_.begin() + static_cast<std::ptrdiff_t>(first));
+  SeekPreferredHome();
+}
+
+// The index of the first preferred control VM that was not lost lately.
+std::optional<std::size_t> control_client::OpenPreferred() const {
+  const time_point now = clock_.Now();
+  for (const endpoint& address : preferred_) {
+    const auto found =
+        std::ranges::find_if(channels_, [&address](const auto& each) {
+          return each->Link().Peer() == address;
+        });
+    if (found == channels_.end() || (*found)->IsLost(now)) continue;
+    return static_cast<std::size_t>(found - channels_.begin());
+  }
+  return std::nullopt;
+}
+
+void control_client::SeekPreferredHome() {
+  if (fibers_ == nullptr || observer_ == nullptr) return;
+  const endpoint& present = channels_[home_]->Link().Peer();
+  if (std::ranges::find(preferred_, present) != preferred_.end()) return;
+  const auto wanted = OpenPreferred();
+  if (!wanted) return;
+  channels_[*wanted]->EnsureStarted(*fibers_);
+  if (channels_[*wanted]->Link().IsUp()) MoveHome(*wanted);
+}
+
+std::size_t control_client::NextHome() const {
+  if (const auto wanted = OpenPreferred()) return *wanted;
+  const time_point now = clock_.Now();
+  for (std::size_t step = 1; step < channels_.size(); ++step) {
+    const std::size_t index = (home_ + step) % channels_.size();
+    if (!channels_[index]->IsLost(now)) return index;
+  }
+  return (home_ + 1) % channels_.size();
+}
+
+// The other connections are closed: each would cost heartbeats.
+void control_client::MoveHome(std::size_t index) {
+  home_ = index;
+  for (std::size_t each = 0; each < channels_.size(); ++each) {
+    if (each != home_) channels_[each]->Rest();
+  }
+  observer_->OnHomeUp();
+}
+
 void control_client::HandleUp(const channel& source) {
-  const bool is_home = channels_[home_].get() == &source;
-  if (is_home && observer_ != nullptr) observer_->OnHomeUp();
+  if (observer_ == nullptr) return;
+  const auto found = std::ranges::find(
+      channels_, &source, [](const auto& each) { return each.get(); });
+  const auto index = static_cast<std::size_t>(found - channels_.begin());
+  const endpoint& address = source.Link().Peer();
+  const bool is_preferred =
+      std::ranges::find(preferred_, address) != preferred_.end();
+  const bool has_home = index != home_ && channels_[home_]->Link().IsUp();
+  const endpoint& present = channels_[home_]->Link().Peer();
+  const bool home_is_preferred =
+      std::ranges::find(preferred_, present) != preferred_.end();
+  if (has_home && (!is_preferred || home_is_preferred)) return;
+  MoveHome(index);
 }
 
-void control_client::HandleDown(const channel& source) {
+void control_client::HandleDown(channel& source) {
   const bool is_home = channels_[home_].get() == &source;
-  if (!is_home || observer_ == nullptr) return;
+  if (observer_ == nullptr) return;
+  if (!source.Link().IsResting()) source.NoteLost(clock_.Now());
+  if (!is_home) return;
   observer_->OnHomeDown();
-  home_ = (home_ + 1) % channels_.size();
+  home_ = NextHome();
   channels_[home_]->EnsureStarted(channels_[home_]->Fibers());
-  if (channels_[home_]->Link().IsUp()) observer_->OnHomeUp();
+  if (channels_[home_]->Link().IsUp()) MoveHome(home_);
 }
 
 void control_client::HandlePush(const channel& source, message content) {
--- a/src/wire/control_client.h
+++ b/src/wire/control_client.h
@@ -4,6 +4,7 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <string_view>
@@ -58,6 +59,13 @@
   // that were known stay: they may come back.
   bool AddAddresses(std::span<const endpoint> addresses);
 
+  // Names the control VMs that are to be the home while they can be reached;
+  // their addresses have to be known.
+  void PreferHomes(std::span<const endpoint> addresses);
+  // Turns to a preferred home when the present one is none and another try is
+  // due.
+  void SeekPreferredHome();
+
   // Connects on fibers of `fibers` until Stop.
   void Start(fiber_group& fibers);
   void Stop();
@@ -98,8 +106,11 @@
   bool AvoidSuspect(store_id store);
   void MoveOn(store_id store);
   std::size_t& LeaderOf(store_id store);
+  [[nodiscard]] std::optional<std::size_t> OpenPreferred() const;
+  [[nodiscard]] std::size_t NextHome() const;
+  void MoveHome(std::size_t index);
   void HandleUp(const channel& source);
-  void HandleDown(const channel& source);
+  void HandleDown(channel& source);
   void HandlePush(const channel& source, message content);
 
   io_loop& loop_;
@@ -110,6 +121,7 @@
   fiber_group* fibers_ = nullptr;
   std::vector<std::unique_ptr<channel>> channels_;
   std::size_t home_;
+  std::vector<endpoint> preferred_;  // Homes, most wanted first.
   // Indexes into channels_ of the store leaders, as far as known.
   std::size_t settings_leader_;
   std::size_t ledger_leader_;
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -77,6 +77,29 @@
   }
 };
 
+// In place of a lease_batch while nothing changed: the leases whose home the
+// sender is are all alive.
+struct lease_pulse {
+  std::string availability_zone;  // The sender's.
+  // Over the names, incarnations and sequences of those leases.
+  std::uint64_t digest = 0;
+  // The age of each lease in steps of kPulseAgeStep, one byte a lease, in the
+  // order of the nodes' names.
+  std::string ages;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(availability_zone, digest, ages);
+  }
+};
+
+// Asks for a lease_batch of all leases whose home the receiver is: a pulse did
+// not fit what the sender knows.
+struct lease_recall {
+  template <class Archive>
+  void serialize(Archive& /*archive*/) {}
+};
+
 // The node stops: no new calls from now on, and the lease ends.
 struct lease_end {
   std::string node;
@@ -180,21 +203,35 @@
 // A newer routing table, as src/routing encodes it.
 struct routing_update {
   std::uint64_t version = 0;
+  // Not 0: `table` is the change that leads from this version to the newer one.
+  std::uint64_t base_version = 0;
   std::string table;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(version, table);
+    archive(version, base_version, table);
+  }
+};
+
+struct control_place {
+  std::string address;            // "ip:port" of its peers listener.
+  std::string availability_zone;  // Empty while not known.
+
+  bool operator==(const control_place&) const = default;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(address, availability_zone);
   }
 };
 
 // The control VMs as they are now; sent to whoever watches the routing table.
 struct control_list {
-  std::vector<std::string> addresses;  // "ip:port" of their peers listeners.
+  std::vector<control_place> places;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(addresses);
+    archive(places);
   }
 };
 
--- a/src/wire/message_link.cc
+++ b/src/wire/message_link.cc
@@ -64,6 +64,16 @@
   changed_.notify_all();
 }
 
+void message_link::Rest() {
+  resting_ = true;
+  if (connection_) connection_->Close();
+}
+
+void message_link::Wake() {
+  resting_ = false;
+  changed_.notify_all();
+}
+
 bool message_link::TrySend(const message& content) {
   return IsUp() && connection_->TrySend(content);
 }
@@ -89,6 +99,11 @@
 
 void message_link::Run() {
   while (!stopped_) {
+    if (resting_) {
+      std::unique_lock lock(mutex_);
+      changed_.wait(lock, [this] { return stopped_ || !resting_; });
+      continue;
+    }
     if (ConnectOnce()) {
       WatchConnection();
     } else {
@@ -106,7 +121,7 @@
 bool message_link::ConnectOnce() {
   auto socket = ConnectTcp(loop_, peer_.host, peer_.port,
                            clock_.Now() + options_.connect_timeout);
-  if (!socket || stopped_) return false;
+  if (!socket || stopped_ || resting_) return false;
   connection_ =
       frame_connection::MakeFrameConnection(std::move(socket).value(), clock_);
   ++connection_number_;
--- a/src/wire/message_link.h
+++ b/src/wire/message_link.h
@@ -51,6 +51,11 @@
   void Start(fiber_group& fibers);
   void Stop();
 
+  // Closes the connection and opens none until Wake.
+  void Rest();
+  void Wake();
+  [[nodiscard]] bool IsResting() const { return resting_; }
+
   // Sends when the connection is up and has room; false when it does not.
   bool TrySend(const message& content);
 
@@ -84,6 +89,7 @@
   std::uint64_t failed_attempts_ = 0;
   std::uint64_t past_bytes_ = 0;
   bool stopped_ = false;
+  bool resting_ = false;
   boost::fibers::mutex mutex_;
   boost::fibers::condition_variable changed_;
 };
--- a/src/wire/messages.h
+++ b/src/wire/messages.h
@@ -19,6 +19,6 @@
                  lease_granted, lease_batch, lease_end, service_watch,
                  membership_update, settings_update, store_request, store_reply,
                  replica_envelope, status_request, status_reply, routing_watch,
-                 routing_update, control_list>;
+                 routing_update, control_list, lease_pulse, lease_recall>;
 
 }  // namespace hornbeam
--- a/tests/lease_table_test.cc
+++ b/tests/lease_table_test.cc
@@ -102,12 +102,67 @@
   lease_table table = MakeTable();
   table.Renew(MakeRenewal("gabes-c-1", 7), lease_source::kOther, duration(0),
               kStart);
-  const auto copies = table.RenewedSince(kStart, kStart + kLease / 2);
+  const auto copies = table.HomeCopies(kStart, kStart + kLease / 2);
   BOOST_REQUIRE(copies.size() == 1U);
   BOOST_TEST(copies[0].renewal.lease.node == "sfax-a-1");
   BOOST_TEST(copies[0].age_us == 2000000U);
 }
 
+// The home of both nodes, and another control VM that was told of them.
+struct two_controls {
+  lease_table home{kLease};
+  lease_table other{kLease};
+
+  two_controls() {
+    for (const char* node : {"sfax-a-1", "sfax-a-2"}) {
+      home.Renew(MakeRenewal(node, 5), lease_source::kNode, duration(0),
+                 kStart);
+    }
+    for (const lease_copy& copy : home.HomeCopies(kStart, kStart)) {
+      other.RenewCopy(copy, "home", kStart);
+    }
+  }
+};
+
+BOOST_AUTO_TEST_CASE(a_pulse_renews_all_leases_of_its_home) {
+  two_controls controls;
+  const time_point later = kStart + kLease / 2;
+  controls.home.Renew(MakeRenewal("sfax-a-1", 5), lease_source::kNode,
+                      duration(0), later);
+  const lease_pulse pulse = controls.home.MakePulse(later);
+  BOOST_TEST(controls.other.ApplyPulse("home", pulse, later));
+  // The second node's age came with it: only the first is still alive.
+  controls.other.Expire(kStart + kLease + kLease / 4);
+  const auto left = controls.other.Upstreams("guichet");
+  BOOST_REQUIRE(left.size() == 1U);
+  BOOST_TEST(left[0].node == "sfax-a-1");
+}
+
+BOOST_AUTO_TEST_CASE(a_pulse_of_other_leases_renews_none) {
+  two_controls controls;
+  controls.home.Renew(MakeRenewal("sfax-a-3", 1), lease_source::kNode,
+                      duration(0), kStart);
+  const time_point later = kStart + kLease / 2;
+  const lease_pulse pulse = controls.home.MakePulse(later);
+  BOOST_TEST(!controls.other.ApplyPulse("home", pulse, later));
+  BOOST_TEST(!controls.other.ApplyPulse("stranger", pulse, later));
+  controls.other.Expire(kStart + kLease);
+  BOOST_TEST(controls.other.Upstreams("guichet").empty());
+}
+
+BOOST_AUTO_TEST_CASE(a_late_copy_does_not_move_a_node_from_its_home) {
+  two_controls controls;
+  const auto late = controls.home.HomeCopies(kStart, kStart);
+  const time_point later = kStart + kLease / 2;
+  controls.other.Renew(MakeRenewal("sfax-a-1", 5), lease_source::kNode,
+                       duration(0), later);
+  for (lease_copy copy : late) {
+    copy.age_us = static_cast<std::uint64_t>((later - kStart).count());
+    controls.other.RenewCopy(copy, "home", later);
+  }
+  BOOST_TEST(controls.other.HomeCopies(later, later).size() == 1U);
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hornbeam
--- a/tests/routing_test.cc
+++ b/tests/routing_test.cc
@@ -4,7 +4,9 @@
 #include <string>
 
 #include "base/seeded_random_source.h"
+#include "controllers/routing_feed.h"
 #include "routing/routing_codec.h"
+#include "routing/routing_delta.h"
 #include "routing/routing_rules.h"
 #include "routing/routing_snapshot.h"
 #include "routing/routing_store.h"
@@ -151,6 +153,35 @@
   BOOST_TEST(snapshot->Match("other.example", "/lookup/7") == nullptr);
 }
 
+BOOST_AUTO_TEST_CASE(a_change_of_a_large_table_is_told_in_few_bytes) {
+  routing_table table{.version = 3};
+  table.services["guichet"] = {.health_path = "/health"};
+  for (int i = 0; i < 1500; ++i) {
+    const std::string name = "route-" + std::to_string(i);
+    table.routes[name] = MakeRoute("/" + name + "/", "guichet");
+  }
+  routing_feed feed;
+  feed.Take(table);
+  BOOST_TEST(feed.UpdateFor(0).base_version == 0U);
+  routing_table next = table;
+  next.version = 5;
+  next.routes["route-7"].timeout_us = 1;
+  next.routes.erase("route-8");
+  next.limits.body_bytes = 9;
+  feed.Take(next);
+  const routing_update told = feed.UpdateFor(3);
+  BOOST_TEST(told.base_version == 3U);
+  BOOST_TEST(told.table.size() < 500U);
+  const auto change = DecodeRoutingChange(told.table);
+  BOOST_REQUIRE(change.has_value());
+  BOOST_TEST((MergeRoutingChange(WithoutSources(table), *change) ==
+              WithoutSources(next)));
+  // A watcher that missed a version gets the whole.
+  const routing_update whole = feed.UpdateFor(2);
+  BOOST_TEST(whole.base_version == 0U);
+  BOOST_TEST((DecodeRoutingTable(whole.table).value() == WithoutSources(next)));
+}
+
 BOOST_AUTO_TEST_CASE(parts_get_their_weights_over_few_calls) {
   route split = MakeRoute("/", "a");
   split.parts = {{.service = "a", .weight = 90},
