A restarted node finds the upstream that runs already

The address and service are in the settings, the identity and slots in the answer to a health check. What it says itself later is taken over without a new start.

--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -67,6 +67,7 @@
   bool states_speed = false;  // Whether the upstream tells its load at all.
   bool drained = false;
   bool reachable = true;
+  bool was_found = false;  // By its health check; it has said nothing yet.
 
   // At the speed that work beginning now would have.
   [[nodiscard]] duration Expected(const call_start& start,
@@ -148,9 +149,12 @@
 // ---- The upstream's own words ----
 
 void instance_server::Announce(const instance_announcement& announced) {
+  const bool is_same_id =
+      life_ && life_->announced.instance == announced.instance;
+  const bool is_first_word = is_same_id && life_->was_found;
   const bool is_same =
-      life_ && life_->announced.instance == announced.instance &&
-      life_->announced.started_at_ms == announced.started_at_ms;
+      is_same_id && (is_first_word ||
+                     life_->announced.started_at_ms == announced.started_at_ms);
   if (!is_same) {
     // A late word of an earlier start.
     if (life_ && announced.started_at_ms < life_->announced.started_at_ms) {
@@ -159,7 +163,9 @@
     Replace(announced);
     return;
   }
-  if (announced.sequence <= life_->announced.sequence) return;
+  const bool is_newer = announced.sequence > life_->announced.sequence;
+  if (!is_first_word && !is_newer) return;
+  life_->was_found = false;
   const bool drains = announced.draining && !life_->drained;
   life_->announced = announced;
   if (drains) Drain(*life_);
@@ -379,6 +385,7 @@
   while (!stopped_) {
     const auto at = life_;
     if (at && !at->drained) CheckHealth(at);
+    if (!at) FindUpstream();
     const time_point looked_at = clock_.Now();
     std::unique_lock lock(mutex_);
     const auto is_wanted = [&] {
@@ -395,6 +402,29 @@
   }
 }
 
+// After a restart of this process alone the upstream goes on running, and its
+// next announcement may be a second away.
+void instance_server::FindUpstream() {
+  if (!options_.upstream) return;
+  const endpoint& address = *options_.upstream;
+  const auto client = http_client::MakeHttpClient(
+      loop_, address.host, address.port, options_.answer_limit_bytes, clock_);
+  cancel_source never;
+  const auto answer =
+      client->Call({.method = "GET", .target = health_path_},
+                   clock_.Now() + options_.health_timeout, never);
+  if (!answer || life_) return;
+  const health_answer said = codec_.ReadHealth(answer.value());
+  const bool is_usable = said.healthy && !said.instance.empty() && said.load &&
+                         said.load->slots > 0;
+  if (!is_usable) return;
+  Replace({.instance = said.instance,
+           .service = options_.service,
+           .address = address.ToString(),
+           .slots = said.load->slots});
+  life_->was_found = true;
+}
+
 void instance_server::CheckHealth(const std::shared_ptr<life>& at) {
   cancel_source never;
   const http_request request{.method = "GET", .target = health_path_};
--- a/src/controllers/instance_server.h
+++ b/src/controllers/instance_server.h
@@ -6,12 +6,14 @@
 #include <cstdint>
 #include <functional>
 #include <memory>
+#include <optional>
 #include <string>
 #include <unordered_map>
 
 #include "hornbeam/clock_source.h"
 #include "hornbeam/platform_codec.h"
 #include "wire/call_server.h"
+#include "wire/endpoint.h"
 
 namespace hornbeam {
 
@@ -24,6 +26,10 @@
   // Between two health checks of the upstream, which also tell its load.
   duration health_interval = std::chrono::milliseconds(250);
   duration health_timeout = std::chrono::milliseconds(500);
+  // Where the upstream is found that runs already when this process starts, and
+  // its service; nothing: the first announcement is waited for.
+  std::optional<endpoint> upstream;
+  std::string service;
 };
 
 // The authority for one upstream: only this process reaches it, so only this
@@ -66,6 +72,7 @@
   void FollowSpeed(life& at, time_point now);
   void HealthLoop();
   void CheckHealth(const std::shared_ptr<life>& at);
+  void FindUpstream();
   void AdvanceLoop();
   void Replace(const instance_announcement& announced);
   void Drain(life& at);
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -43,6 +43,9 @@
   endpoint local;
   // Where the upstream announces itself, where it is not `local`.
   std::optional<endpoint> announcements;  // Role node only.
+  // Role node only: where the upstream beside it listens, when that is known
+  // before it announces itself.
+  std::optional<endpoint> upstream;
   // Where operators change the routing table.
   std::optional<endpoint> operators;  // Role control only.
 };
--- a/src/daemon/routed_node_daemon.cc
+++ b/src/daemon/routed_node_daemon.cc
@@ -98,7 +98,9 @@
             ControlSilence(settings.limits))),
         server_(loop_, clock_, log, self_, codec,
                 instance_server_options{
-                    .answer_limit_bytes = settings.limits.response_body_bytes}),
+                    .answer_limit_bytes = settings.limits.response_body_bytes,
+                    .upstream = settings.listen.upstream,
+                    .service = settings.process.service}),
         ingress_(loop_, clock_, random_, log, self_,
                  settings.process.availability_zone, codec, directory_, server_,
                  MakeIngressOptions(settings)),
--- a/src/daemon/setting_catalogue.cc
+++ b/src/daemon/setting_catalogue.cc
@@ -81,6 +81,12 @@
        return StoreParsed(endpoint::Parse(value),
                           settings.listen.announcements);
      }},
+    {"listen", "upstream", kAddress, kNode, 0, 0, "",
+     "Where the upstream announces itself, where it is not listen.local.",
+     [](text, text value, daemon_settings& settings) {
+       if (value.empty()) return true;
+       return StoreParsed(endpoint::Parse(value), settings.listen.upstream);
+     }},
     {"listen", "operators", kAddress, kControl, 0, 0, "",
      "Where operators change and read the routing table.",
      [](text, text value, daemon_settings& settings) {
--- a/tests/call_link_test.cc
+++ b/tests/call_link_test.cc
@@ -32,7 +32,6 @@
         late_(loop.context()) {
     acceptor_.listen(0);
     queued_.connect(acceptor_.local_endpoint());
-    late_.non_blocking(true);
     late_.async_connect(acceptor_.local_endpoint(), [](auto) {});
   }
   [[nodiscard]] endpoint Address() const {
--- a/tests/instance_server_test.cc
+++ b/tests/instance_server_test.cc
@@ -30,8 +30,9 @@
 // One instance server with an upstream that answers by script.
 class server_rig {
  public:
-  server_rig(io_loop& loop, upstream_script::answer_maker script)
-      : upstream(loop, fibers, std::move(script)),
+  server_rig(io_loop& io, upstream_script::answer_maker script)
+      : loop(io),
+        upstream(loop, fibers, std::move(script)),
         server(loop, clock, log, {"n1", 7}, codec, {}) {
     server.Start(fibers, [this](const instance_announcement&, bool draining) {
       drained = draining;
@@ -73,6 +74,7 @@
     return server.Serve(call);
   }
 
+  io_loop& loop;
   system_clock_source clock;
   null_event_log log;
   platform::platform_codec_impl codec;
@@ -140,6 +142,36 @@
   });
 }
 
+// After a restart of the node alone the upstream's next word may be far away.
+BOOST_AUTO_TEST_CASE(an_upstream_that_runs_already_is_found) {
+  const auto healthy =
+      Always("200 OK", "X-Instance-Id: i-1\r\nX-Instance-Load: 0,0,18,100\r\n");
+  RunWith(healthy, [](server_rig& rig) {
+    instance_server found(
+        rig.loop, rig.clock, rig.log, {"n1", 8}, rig.codec,
+        {.upstream = endpoint{"127.0.0.1", rig.upstream.Port()},
+         .service = "s"});
+    std::vector<std::string> told;
+    found.Start(rig.fibers, [&](const instance_announcement& said, bool) {
+      told.push_back(said.instance);
+    });
+    const time_point limit = Limit();
+    while (found.Service().empty() && rig.clock.Now() < limit) {
+      io_loop::SleepFor(std::chrono::milliseconds(5));
+    }
+    BOOST_TEST(found.Service() == "s");
+    BOOST_TEST((told == std::vector<std::string>{"i-1"}));
+    // Its own first word changes nothing but what it says.
+    found.Announce(rig.Announcement("i-1", 100, 1));
+    BOOST_TEST(told.size() == 1U);
+    instance_announcement leaving = rig.Announcement("i-1", 100, 2);
+    leaving.draining = true;
+    found.Announce(leaving);
+    BOOST_TEST(told.size() == 2U);
+    found.Stop();
+  });
+}
+
 BOOST_AUTO_TEST_CASE(a_restart_under_the_same_id_counts_anew) {
   RunWith(Always("200 OK"), [](server_rig& rig) {
     auto leaving = rig.Announcement("i-1", 100, 50);
