--- a/src/controllers/routed_ingress.cc
+++ b/src/controllers/routed_ingress.cc
@@ -360,7 +360,8 @@
                          .objective_us = (call.objective_at - now).count(),
                          .wait_percent = static_cast<std::uint32_t>(
                              kWholePercent * choice.wait_share),
-                         .settles = choice.settles};
+                         .settles = choice.settles,
+                         .idempotent = call.definition->idempotent};
   if (fleet_member* member = directory_.Find(call.service, choice.upstream)) {
     ++member->own_since;
   }
--- a/src/wire/call_link.cc
+++ b/src/wire/call_link.cc
@@ -41,6 +41,9 @@
   // Whether a passed deadline cancels the call at the serving node. A claimed
   // operation goes on: its answer is there for a resend.
   bool cancels_late = true;
+  // Whether it may run elsewhere when its fate stays unknown. One that may not
+  // loses nothing by waiting: its serving node may come back with the answer.
+  bool may_move = true;
   // When its connection was lost or its fate asked for, until the serving node
   // has replied.
   std::optional<time_point> fate_asked_at;
@@ -96,7 +99,9 @@
                             time_point deadline, cancel_source& cancel) {
   pending_call call{.id = start.id,
                     .incarnation = start.incarnation,
-                    .cancels_late = !start.attempt.has_value()};
+                    .cancels_late = !start.attempt.has_value(),
+                    .may_move = !start.attempt.has_value() &&
+                                (start.route.empty() || start.idempotent)};
   const auto connection = Connect(deadline);
   if (!connection) {
     Finish(call, outcome::kNotRun, end_reason::kNoUpstream);
@@ -132,7 +137,8 @@
   pending_call call{.id = fence.id,
                     .incarnation = fence.incarnation,
                     .fence = &fence,
-                    .cancels_late = false};
+                    .cancels_late = false,
+                    .may_move = false};
   const auto connection = Connect(deadline);
   if (!connection) {
     Finish(call, outcome::kUnknown, end_reason::kNoUpstream);
@@ -276,8 +282,8 @@
   const time_point latest =
       clock_.Now() - options_.silence_timeout / kFateShare;
   for (pending_call* call : pending_ | std::views::values) {
-    const bool may_move = call->cancels_late && call->fate_asked_at;
-    if (may_move && *call->fate_asked_at <= latest) {
+    if (call->may_move && call->fate_asked_at &&
+        *call->fate_asked_at <= latest) {
       Finish(*call, outcome::kUnknown, end_reason::kNoUpstream);
     }
   }
--- a/src/wire/call_messages.h
+++ b/src/wire/call_messages.h
@@ -51,12 +51,14 @@
   std::uint32_t wait_percent = 0;
   // The ingress knows no better place: a call that will be late may wait too.
   bool settles = false;
+  // The caller allows that it runs more than once.
+  bool idempotent = false;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(id, service, method, target, headers, body_size, deadline_us,
             incarnation, wait_limit_us, expected, attempt, instance, route,
-            priority, objective_us, wait_percent, settles);
+            priority, objective_us, wait_percent, settles, idempotent);
   }
 };
 
