An upstream that fails what it is given gets trials only

Nothing watched how calls ended; one that fails at once looks idle and draws the most. policy/failure_gate at its own node, which sees all its calls: 10 failures of the last 16 shut it, a trial each 200 ms (each second for what may not run twice), three good ones open it. Ingresses pass over one that states 600 of 1000 failures within a second.

--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -14,6 +14,7 @@
 #include "io/fiber_signal.h"
 #include "io/io_loop.h"
 #include "policy/crest_queue.h"
+#include "policy/failure_gate.h"
 #include "policy/spell_watch.h"
 
 namespace hornbeam {
@@ -39,6 +40,7 @@
 constexpr duration kSpellLook = std::chrono::milliseconds(15);
 constexpr std::uint32_t kUsualPercent = 100;
 constexpr double kWholePercent = 100;
+constexpr unsigned kFirstServerError = 500;
 // Waiting calls are moved on in steps of this length at least.
 constexpr duration kAdvanceStep = std::chrono::milliseconds(2);
 
@@ -64,6 +66,7 @@
   std::map<std::string, double, std::less<>> usual_us;  // By route.
   double mean_us = 0;                                   // Over all routes.
   spell_watch speed{spell_options{}};
+  failure_gate failures{failure_gate_options{}};
   bool states_speed = false;  // Whether the upstream tells its load at all.
   bool drained = false;
   bool reachable = true;
@@ -237,6 +240,9 @@
 served_call instance_server::ServeAt(const std::shared_ptr<life>& at,
                                      inbound_call& call) {
   const time_point now = clock_.Now();
+  if (!call.start.settles && !at->failures.Admits(call.start.idempotent, now)) {
+    return MakeEnd(outcome::kNotRun, end_reason::kBetterPlace);
+  }
   const duration expected = at->Expected(call.start, now);
   const crest_call asked{
       .id = call.start.id,
@@ -288,6 +294,24 @@
 
 served_call instance_server::RunAt(const std::shared_ptr<life>& at,
                                    inbound_call& call) {
+  served_call served = GiveTo(at, call);
+  const bool is_cancelled = call.cancel.IsCancelled();
+  const bool is_refusal = served.end.reason == end_reason::kUpstreamRefused;
+  if (is_cancelled || is_refusal) return served;
+  const bool was_shut = at->failures.IsShut();
+  at->failures.Record(served.end.fate != outcome::kAnswered ||
+                      served.end.status >= kFirstServerError);
+  if (at->failures.IsShut() != was_shut) {
+    log_.Write(event_id::kUpstreamStateChanged,
+               {{"instance", at->announced.instance},
+                {"state", was_shut ? "sound" : "failing"},
+                {"failures_per_mille", at->failures.FailurePerMille()}});
+  }
+  return served;
+}
+
+served_call instance_server::GiveTo(const std::shared_ptr<life>& at,
+                                    inbound_call& call) {
   const time_point started = clock_.Now();
   const std::uint32_t percent = at->speed.Percent();
   http_request request{.method = call.start.method,
@@ -373,6 +397,7 @@
   report.queued_short = static_cast<std::uint32_t>(life_->queue.Waiting());
   report.service_time_short_us = static_cast<std::uint32_t>(life_->mean_us);
   report.slowdown_percent = life_->speed.Percent();
+  report.failure_per_mille = life_->failures.FailurePerMille();
   report.backlog_us = static_cast<std::uint32_t>(std::min<std::uint64_t>(
       ToMicroseconds(life_->queue.Backlog()), kMostBacklogUs));
   return report;
--- a/src/controllers/instance_server.h
+++ b/src/controllers/instance_server.h
@@ -69,6 +69,7 @@
 
   served_call ServeAt(const std::shared_ptr<life>& at, inbound_call& call);
   served_call RunAt(const std::shared_ptr<life>& at, inbound_call& call);
+  served_call GiveTo(const std::shared_ptr<life>& at, inbound_call& call);
   void FollowSpeed(life& at, time_point now);
   void HealthLoop();
   void CheckHealth(const std::shared_ptr<life>& at);
--- a/src/policy/near_first.cc
+++ b/src/policy/near_first.cc
@@ -55,10 +55,16 @@
     std::span<const near_candidate> candidates, duration objective_left,
     double bytes, std::uint64_t tie, const near_first_options& options) {
   if (candidates.empty()) return std::nullopt;
+  const auto fails = [&](const near_candidate& each) {
+    return each.reported && each.report_age < options.report_lifetime &&
+           each.report.failure_per_mille >= options.failing_per_mille;
+  };
+  const bool all_fail = std::ranges::all_of(candidates, fails);
   std::vector<scored> all;
   for (std::size_t step = 0; step < candidates.size(); ++step) {
     const std::size_t index = (step + tie) % candidates.size();
     const near_candidate& each = candidates[index];
+    if (!all_fail && fails(each)) continue;
     const duration wait = ExpectedWaitAt(each, options);
     duration work = ServiceTime(each);
     const bool is_slow = each.report.slowdown_percent > 100 &&
--- a/src/policy/near_first.h
+++ b/src/policy/near_first.h
@@ -38,6 +38,9 @@
   double far_wait_share = 0.6;
   // After so long a report of load says nothing any more.
   duration report_lifetime = std::chrono::milliseconds(1000);
+  // An upstream that failed so much of its last work is chosen only when there
+  // is no other.
+  std::uint32_t failing_per_mille = 600;
   // A slow spell lasts about so long; older figures say nothing of it.
   duration slow_spell = std::chrono::milliseconds(150);
 };
--- /dev/null
+++ b/tests/failure_gate_test.cc
@@ -0,0 +1,100 @@
+// Calls and an upstream that fails them.
+#include "policy/failure_gate.h"
+
+#include <boost/test/unit_test.hpp>
+
+#include "policy/near_first.h"
+
+namespace hornbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+constexpr time_point kStart{std::chrono::hours(1)};
+
+// A service of four upstreams of which the first fails every call at once.
+// Calls go to the shortest queue, and on from a refusal. How many of 2000 fail.
+int ReplayFastFailing(bool gated) {
+  failure_gate gate({});
+  int failed = 0;
+  std::size_t next_sound = 0;
+  for (int call = 0; call < 2000; ++call) {
+    const time_point now = kStart + milliseconds(call * 5);
+    // The failing one is always idle, so it is always tried first.
+    const bool is_given = !gated || gate.Admits(true, now);
+    if (is_given) {
+      gate.Record(true);
+      ++failed;
+    } else {
+      next_sound = next_sound % 3 + 1;
+    }
+  }
+  return failed;
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(failure_gate_test)
+
+BOOST_AUTO_TEST_CASE(replay_an_upstream_that_fails_at_once) {
+  BOOST_TEST(ReplayFastFailing(false) == 2000);
+  // Ten seconds: the failures that shut it, and a trial each 200 ms.
+  BOOST_TEST(ReplayFastFailing(true) <= 65);
+}
+
+BOOST_AUTO_TEST_CASE(a_few_failures_among_successes_change_nothing) {
+  failure_gate gate({});
+  for (int call = 0; call < 200; ++call) {
+    gate.Record(call % 2 == 0);
+    BOOST_TEST(gate.Admits(false, kStart));
+  }
+}
+
+BOOST_AUTO_TEST_CASE(it_opens_after_trials_that_end_well) {
+  failure_gate gate({});
+  for (int call = 0; call < failure_gate::kRemembered; ++call) {
+    gate.Record(true);
+  }
+  time_point now = kStart;
+  BOOST_TEST(gate.Admits(true, now));
+  gate.Record(false);
+  BOOST_TEST(!gate.Admits(true, now));
+  now += milliseconds(200);
+  // Work that may not run again is tried more rarely.
+  BOOST_TEST(!gate.Admits(false, now));
+  BOOST_TEST(gate.Admits(true, now));
+  gate.Record(true);  // Not yet.
+  for (int trial = 0; trial < 3; ++trial) {
+    BOOST_TEST(gate.IsShut());
+    now += milliseconds(200);
+    BOOST_TEST(gate.Admits(true, now));
+    gate.Record(false);
+  }
+  BOOST_TEST(!gate.IsShut());
+  BOOST_TEST(gate.Admits(true, now));
+}
+
+BOOST_AUTO_TEST_CASE(an_idle_upstream_that_fails_is_no_choice) {
+  near_candidate failing{.near = true,
+                         .report = {.slot_limit = 14,
+                                    .service_time_short_us = 1'000,
+                                    .failure_per_mille = 900},
+                         .reported = true};
+  near_candidate sound{.near = false,
+                       .report = {.slot_limit = 14,
+                                  .running_short = 13,
+                                  .service_time_short_us = 250'000},
+                       .reported = true,
+                       .crossing = milliseconds(4)};
+  const std::vector<near_candidate> both = {failing, sound};
+  BOOST_TEST(ChooseNearFirst(both, milliseconds(600), 5000, 0, {}).value() ==
+             1U);
+  const std::vector<near_candidate> alone = {failing};
+  BOOST_TEST(ChooseNearFirst(alone, milliseconds(600), 5000, 0, {}).value() ==
+             0U);
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hornbeam
