Upstreams that have just started are reckoned as slow

One that had told nothing had no expected wait and no service time: it finished first in every comparison of every ingress, across zones too, in its slowest seconds. - near_first takes twice the others' usual time for one that told nothing; the new test fails without it. - Its node doubles what it expects and reports while the announced cold time lasts, and halves what it measures then.

--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -40,6 +40,8 @@
 constexpr duration kSpellLook = std::chrono::milliseconds(15);
 constexpr std::uint32_t kUsualPercent = 100;
 constexpr double kWholePercent = 100;
+// Work at an upstream that has just started takes about so many times as long.
+constexpr double kColdFactor = 2;
 constexpr unsigned kFirstServerError = 500;
 // Waiting calls are moved on in steps of this length at least.
 constexpr duration kAdvanceStep = std::chrono::milliseconds(2);
@@ -68,10 +70,15 @@
   spell_watch speed{spell_options{}};
   failure_gate failures{failure_gate_options{}};
   bool states_speed = false;  // Whether the upstream tells its load at all.
+  time_point cold_until;      // Slow after its start until then.
   bool drained = false;
   bool reachable = true;
   bool was_found = false;  // By its health check; it has said nothing yet.
 
+  [[nodiscard]] double ColdFactor(time_point now) const {
+    return now < cold_until ? kColdFactor : 1.0;
+  }
+
   // At the speed that work beginning now would have.
   [[nodiscard]] duration Expected(const call_start& start,
                                   time_point now) const {
@@ -83,7 +90,8 @@
     }
     const bool waits = speed.HoldsBack(now);
     const double slowdown =
-        waits ? 1.0 : static_cast<double>(speed.Percent()) / kUsualPercent;
+        (waits ? 1.0 : static_cast<double>(speed.Percent()) / kUsualPercent) *
+        ColdFactor(now);
     return duration(static_cast<std::int64_t>(found->second * slowdown));
   }
 
@@ -96,9 +104,9 @@
 
   // `percent`: the slowdown that was stated when the work began.
   void RecordTime(const std::string& route, duration ran_for,
-                  std::uint32_t percent) {
+                  std::uint32_t percent, double cold_factor) {
     const auto time = static_cast<double>(ran_for.count()) * kUsualPercent /
-                      std::max(percent, kUsualPercent);
+                      std::max(percent, kUsualPercent) / cold_factor;
     const auto [entry, is_new] = usual_us.try_emplace(route, time);
     if (!is_new) entry->second += kTimeWeight * (time - entry->second);
     mean_us += mean_us > 0 ? kTimeWeight * (time - mean_us) : time;
@@ -169,6 +177,7 @@
   const bool is_newer = announced.sequence > life_->announced.sequence;
   if (!is_first_word && !is_newer) return;
   life_->was_found = false;
+  life_->cold_until = clock_.Now() + announced.cold_for;
   const bool drains = announced.draining && !life_->drained;
   life_->announced = announced;
   if (drains) Drain(*life_);
@@ -180,6 +189,7 @@
   if (life_) life_->Tell(life_->queue.Clear(), wait_end::kDrained);
   life_ = std::make_shared<life>();
   life_->announced = announced;
+  life_->cold_until = clock_.Now() + announced.cold_for;
   life_->address = *address;
   life_->client = http_client::MakeHttpClient(
       loop_, address->host, address->port,
@@ -314,6 +324,7 @@
                                     inbound_call& call) {
   const time_point started = clock_.Now();
   const std::uint32_t percent = at->speed.Percent();
+  const double cold_factor = at->ColdFactor(started);
   http_request request{.method = call.start.method,
                        .target = call.start.target,
                        .headers = call.start.headers,
@@ -356,7 +367,9 @@
   if (succeeded && !read.genuine) {
     return MakeEnd(outcome::kUnknown, end_reason::kUpstreamLost);
   }
-  if (succeeded) at->RecordTime(call.start.route, ran_for, percent);
+  if (succeeded) {
+    at->RecordTime(call.start.route, ran_for, percent, cold_factor);
+  }
   served_call served = MakeEnd(outcome::kAnswered, end_reason::kNone);
   served.end.status = said.status;
   served.end.headers = std::move(said.headers);
@@ -395,7 +408,8 @@
   report.slot_limit = life_->queue.Limit();
   report.running_short = static_cast<std::uint32_t>(life_->queue.Running());
   report.queued_short = static_cast<std::uint32_t>(life_->queue.Waiting());
-  report.service_time_short_us = static_cast<std::uint32_t>(life_->mean_us);
+  report.service_time_short_us = static_cast<std::uint32_t>(
+      life_->mean_us * life_->ColdFactor(clock_.Now()));
   report.slowdown_percent = life_->speed.Percent();
   report.failure_per_mille = life_->failures.FailurePerMille();
   report.backlog_us = static_cast<std::uint32_t>(std::min<std::uint64_t>(
--- a/src/policy/near_first.cc
+++ b/src/policy/near_first.cc
@@ -1,6 +1,7 @@
 #include "policy/near_first.h"
 
 #include <algorithm>
+#include <ranges>
 #include <vector>
 
 namespace hornbeam {
@@ -11,6 +12,22 @@
   return std::chrono::microseconds(candidate.report.service_time_short_us);
 }
 
+// What an upstream is taken to need that has told nothing yet: it has just
+// started, and must not look like the fastest of all.
+duration UsualTime(std::span<const near_candidate> candidates,
+                   const near_first_options& options) {
+  auto times =
+      candidates | std::views::transform(ServiceTime) |
+      std::views::filter([](duration time) { return time > duration(0); });
+  duration sum{0};
+  std::int64_t count = 0;
+  for (const duration time : times) {
+    sum += time;
+    ++count;
+  }
+  return count == 0 ? duration(0) : sum * options.new_time_factor / count;
+}
+
 struct scored {
   std::size_t index = 0;
   duration wait{};
@@ -59,6 +76,7 @@
     return each.reported && each.report_age < options.report_lifetime &&
            each.report.failure_per_mille >= options.failing_per_mille;
   };
+  const duration unknown_time = UsualTime(candidates, options);
   const bool all_fail = std::ranges::all_of(candidates, fails);
   std::vector<scored> all;
   for (std::size_t step = 0; step < candidates.size(); ++step) {
@@ -67,6 +85,7 @@
     if (!all_fail && fails(each)) continue;
     const duration wait = ExpectedWaitAt(each, options);
     duration work = ServiceTime(each);
+    if (work == duration(0)) work = unknown_time;
     const bool is_slow = each.report.slowdown_percent > 100 &&
                          each.report_age < options.slow_spell;
     // A slow spell ends before the call does, mostly.
--- a/src/policy/near_first.h
+++ b/src/policy/near_first.h
@@ -41,6 +41,8 @@
   // An upstream that failed so much of its last work is chosen only when there
   // is no other.
   std::uint32_t failing_per_mille = 600;
+  // How many times as long as the others one takes that has told nothing yet.
+  int new_time_factor = 2;
   // A slow spell lasts about so long; older figures say nothing of it.
   duration slow_spell = std::chrono::milliseconds(150);
 };
--- a/tests/near_first_test.cc
+++ b/tests/near_first_test.cc
@@ -81,6 +81,15 @@
   BOOST_TEST((ExpectedWaitAt(busy, kOptions) > duration(0)));
 }
 
+// Added upstreams drew all calls at once while they were still slow.
+BOOST_AUTO_TEST_CASE(one_that_told_nothing_yet_is_not_the_fastest) {
+  near_candidate added{.near = true};
+  const std::vector<near_candidate> both = {added, MakeCandidate(true, 5)};
+  BOOST_TEST(Choose(both) == 1U);
+  const std::vector<near_candidate> busy = {added, MakeCandidate(true, 40)};
+  BOOST_TEST(Choose(busy) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ties_do_not_all_go_the_same_way) {
   const std::vector<near_candidate> equal(3, MakeCandidate(true, 0));
   std::set<std::size_t> chosen;
