Instance server: times of routes and one start of the upstream apart

Read-through: policy/route_times is pure and has tests of its own; upstream_life holds one start; how a failed call maps to its end stood twice (served_end).

--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -2,20 +2,16 @@
 
 #include <algorithm>
 #include <cmath>
-#include <map>
 #include <mutex>
 #include <utility>
 #include <vector>
 
 #include "base/event_log.h"
 #include "base/microseconds.h"
-#include "http/http_client.h"
+#include "controllers/served_end.h"
+#include "controllers/upstream_life.h"
 #include "io/fiber_group.h"
-#include "io/fiber_signal.h"
 #include "io/io_loop.h"
-#include "policy/crest_queue.h"
-#include "policy/failure_gate.h"
-#include "policy/spell_watch.h"
 
 namespace hornbeam {
 
@@ -24,108 +20,21 @@
 // Upstreams work more slowly with nearly all slots taken; up to this share of
 // them they work at full speed.
 constexpr double kFullSpeedShare = 0.8;
-// Weight of one call in the usual time of its route.
-constexpr double kTimeWeight = 0.1;
-// Before a route's time was measured: this share of its objective.
-constexpr double kFirstGuess = 0.25;
 // Longer waits are told as this one.
 constexpr std::uint64_t kMostBacklogUs = 60'000'000;
 // The queue lets go of a call by its deadline; this covers late wake-ups.
 constexpr duration kQueueGrace = std::chrono::milliseconds(50);
-// Calls whose time is below this share of the longest route's are brief.
-constexpr double kBriefShare = 0.5;
 // A look at the upstream's load takes about so long.
 constexpr duration kLookTime = std::chrono::milliseconds(1);
 // Between two looks in a slow spell while calls wait for its end.
 constexpr duration kSpellLook = std::chrono::milliseconds(15);
-constexpr std::uint32_t kUsualPercent = 100;
 constexpr double kWholePercent = 100;
-// Work at an upstream that has just started takes about so many times as long.
-constexpr double kColdFactor = 2;
 constexpr unsigned kFirstServerError = 500;
 // Waiting calls are moved on in steps of this length at least.
 constexpr duration kAdvanceStep = std::chrono::milliseconds(2);
 
-enum class wait_end : std::uint8_t { kAdmitted, kLate, kHopeless, kDrained };
-
-served_call MakeEnd(outcome fate, end_reason reason) {
-  served_call served;
-  served.end.fate = fate;
-  served.end.reason = reason;
-  return served;
-}
-
 }  // namespace
 
-// One start of the upstream. Shared by the calls that run there: one that was
-// replaced lives on until its last call has ended.
-struct instance_server::life {
-  instance_announcement announced;
-  endpoint address;
-  std::unique_ptr<http_client> client;
-  crest_queue queue;
-  std::unordered_map<request_id, fiber_signal<wait_end>*> waiting;
-  std::map<std::string, double, std::less<>> usual_us;  // By route.
-  double mean_us = 0;                                   // Over all routes.
-  spell_watch speed{spell_options{}};
-  failure_gate failures{failure_gate_options{}};
-  bool states_speed = false;  // Whether the upstream tells its load at all.
-  time_point cold_until;      // Slow after its start until then.
-  bool drained = false;
-  bool reachable = true;
-  bool was_found = false;  // By its health check; it has said nothing yet.
-
-  [[nodiscard]] double ColdFactor(time_point now) const {
-    return now < cold_until ? kColdFactor : 1.0;
-  }
-
-  // At the speed that work beginning now would have.
-  [[nodiscard]] duration Expected(const call_start& start,
-                                  time_point now) const {
-    const auto found = usual_us.find(start.route);
-    if (found == usual_us.end()) {
-      const auto objective = std::max<std::int64_t>(start.objective_us, 0);
-      return duration(static_cast<std::int64_t>(
-          kFirstGuess * static_cast<double>(objective)));
-    }
-    const bool waits = speed.HoldsBack(now);
-    const double slowdown =
-        (waits ? 1.0 : static_cast<double>(speed.Percent()) / kUsualPercent) *
-        ColdFactor(now);
-    return duration(static_cast<std::int64_t>(found->second * slowdown));
-  }
-
-  [[nodiscard]] bool IsBrief(duration expected) const {
-    const auto is_far_longer = [expected](const auto& route) {
-      return kBriefShare * route.second > static_cast<double>(expected.count());
-    };
-    return std::ranges::any_of(usual_us, is_far_longer);
-  }
-
-  // `percent`: the slowdown that was stated when the work began.
-  void RecordTime(const std::string& route, duration ran_for,
-                  std::uint32_t percent, double cold_factor) {
-    const auto time = static_cast<double>(ran_for.count()) * kUsualPercent /
-                      std::max(percent, kUsualPercent) / cold_factor;
-    const auto [entry, is_new] = usual_us.try_emplace(route, time);
-    if (!is_new) entry->second += kTimeWeight * (time - entry->second);
-    mean_us += mean_us > 0 ? kTimeWeight * (time - mean_us) : time;
-  }
-
-  void Apply(const crest_change& change) {
-    Tell(change.admitted, wait_end::kAdmitted);
-    Tell(change.late, wait_end::kLate);
-    Tell(change.hopeless, wait_end::kHopeless);
-  }
-
-  void Tell(const std::vector<request_id>& ids, wait_end end) {
-    for (const request_id& id : ids) {
-      const auto found = waiting.find(id);
-      if (found != waiting.end()) found->second->Set(end);
-    }
-  }
-};
-
 instance_server::instance_server(io_loop& loop, const clock_source& clock,
                                  event_log& log, const process_identity& self,
                                  const platform_codec& codec,
@@ -187,7 +96,7 @@
   const auto address = endpoint::Parse(announced.address);
   if (!address) return;
   if (life_) life_->Tell(life_->queue.Clear(), wait_end::kDrained);
-  life_ = std::make_shared<life>();
+  life_ = std::make_shared<upstream_life>();
   life_->announced = announced;
   life_->cold_until = clock_.Now() + announced.cold_for;
   life_->address = *address;
@@ -216,7 +125,7 @@
   if (is_known && !life_->drained) Drain(*life_);
 }
 
-void instance_server::Drain(life& at) {
+void instance_server::Drain(upstream_life& at) {
   at.drained = true;
   at.Tell(at.queue.Clear(), wait_end::kDrained);
   log_.Write(event_id::kUpstreamStateChanged,
@@ -247,16 +156,18 @@
   return served;
 }
 
-served_call instance_server::ServeAt(const std::shared_ptr<life>& at,
+served_call instance_server::ServeAt(const std::shared_ptr<upstream_life>& at,
                                      inbound_call& call) {
   const time_point now = clock_.Now();
   if (!call.start.settles && !at->failures.Admits(call.start.idempotent, now)) {
     return MakeEnd(outcome::kNotRun, end_reason::kBetterPlace);
   }
-  const duration expected = at->Expected(call.start, now);
+  const duration expected = at->times.Expected(
+      call.start.route, at->Slowdown(at->speed.HoldsBack(now), now),
+      duration(call.start.objective_us));
   const crest_call asked{
       .id = call.start.id,
-      .brief = at->IsBrief(expected),
+      .brief = at->times.IsBrief(expected),
       .priority = call.start.priority,
       .objective_at = now + duration(call.start.objective_us),
       .deadline = call.deadline,
@@ -302,7 +213,7 @@
                                        : end_reason::kCannotMeetDeadline);
 }
 
-served_call instance_server::RunAt(const std::shared_ptr<life>& at,
+served_call instance_server::RunAt(const std::shared_ptr<upstream_life>& at,
                                    inbound_call& call) {
   served_call served = GiveTo(at, call);
   const bool is_cancelled = call.cancel.IsCancelled();
@@ -320,11 +231,10 @@
   return served;
 }
 
-served_call instance_server::GiveTo(const std::shared_ptr<life>& at,
+served_call instance_server::GiveTo(const std::shared_ptr<upstream_life>& at,
                                     inbound_call& call) {
   const time_point started = clock_.Now();
-  const std::uint32_t percent = at->speed.Percent();
-  const double cold_factor = at->ColdFactor(started);
+  const double slowdown = at->Slowdown(false, started);
   http_request request{.method = call.start.method,
                        .target = call.start.target,
                        .headers = call.start.headers,
@@ -341,22 +251,11 @@
   FollowSpeed(*at, clock_.Now());
   at->Apply(at->queue.Release(clock_.Now()));
   if (!answer) {
-    switch (answer.error()) {
-      case http_call_error::kNotSent:
-        at->reachable = call.cancel.IsCancelled();
-        return MakeEnd(outcome::kNotRun, call.cancel.IsCancelled()
-                                             ? end_reason::kCancelled
-                                             : end_reason::kNoUpstream);
-      case http_call_error::kTimeout:
-        return MakeEnd(outcome::kUnknown, end_reason::kDeadlinePassed);
-      case http_call_error::kCancelled:
-        return MakeEnd(outcome::kUnknown, end_reason::kCancelled);
-      case http_call_error::kTooLarge:
-        return MakeEnd(outcome::kUnknown, end_reason::kTooLarge);
-      case http_call_error::kLost:
-      case http_call_error::kMalformed:
-        return MakeEnd(outcome::kUnknown, end_reason::kUpstreamLost);
-    }
+    served_call failed = ToServed(answer.error());
+    if (answer.error() != http_call_error::kNotSent) return failed;
+    at->reachable = call.cancel.IsCancelled();
+    if (at->reachable) failed.end.reason = end_reason::kCancelled;
+    return failed;
   }
   http_response& said = answer.value();
   const upstream_answer read = codec_.ReadAnswer(said.status, said.headers);
@@ -367,9 +266,7 @@
   if (succeeded && !read.genuine) {
     return MakeEnd(outcome::kUnknown, end_reason::kUpstreamLost);
   }
-  if (succeeded) {
-    at->RecordTime(call.start.route, ran_for, percent, cold_factor);
-  }
+  if (succeeded) at->times.Record(call.start.route, ran_for, slowdown);
   served_call served = MakeEnd(outcome::kAnswered, end_reason::kNone);
   served.end.status = said.status;
   served.end.headers = std::move(said.headers);
@@ -379,7 +276,7 @@
 }
 
 // Shuts the queue in a slow spell, and until the present speed is known.
-void instance_server::FollowSpeed(life& at, time_point now) {
+void instance_server::FollowSpeed(upstream_life& at, time_point now) {
   if (!at.states_speed) return;
   if (at.speed.HoldsBack(now)) {
     at.queue.Shut(at.speed.Remainder(now));
@@ -409,7 +306,7 @@
   report.running_short = static_cast<std::uint32_t>(life_->queue.Running());
   report.queued_short = static_cast<std::uint32_t>(life_->queue.Waiting());
   report.service_time_short_us = static_cast<std::uint32_t>(
-      life_->mean_us * life_->ColdFactor(clock_.Now()));
+      life_->times.MeanUs() * life_->Slowdown(true, clock_.Now()));
   report.slowdown_percent = life_->speed.Percent();
   report.failure_per_mille = life_->failures.FailurePerMille();
   report.backlog_us = static_cast<std::uint32_t>(std::min<std::uint64_t>(
@@ -464,7 +361,7 @@
   life_->was_found = true;
 }
 
-void instance_server::CheckHealth(const std::shared_ptr<life>& at) {
+void instance_server::CheckHealth(const std::shared_ptr<upstream_life>& at) {
   cancel_source never;
   const http_request request{.method = "GET", .target = health_path_};
   const auto answer =
--- a/src/controllers/instance_server.h
+++ b/src/controllers/instance_server.h
@@ -8,7 +8,6 @@
 #include <memory>
 #include <optional>
 #include <string>
-#include <unordered_map>
 
 #include "hornbeam/clock_source.h"
 #include "hornbeam/platform_codec.h"
@@ -20,6 +19,7 @@
 class event_log;
 class fiber_group;
 class io_loop;
+struct upstream_life;
 
 struct instance_server_options {
   std::size_t answer_limit_bytes = 64UL * 1024 * 1024;
@@ -65,18 +65,19 @@
   bool Probe(load_report& load) override;
 
  private:
-  struct life;
-
-  served_call ServeAt(const std::shared_ptr<life>& at, inbound_call& call);
-  served_call RunAt(const std::shared_ptr<life>& at, inbound_call& call);
-  served_call GiveTo(const std::shared_ptr<life>& at, inbound_call& call);
-  void FollowSpeed(life& at, time_point now);
+  served_call ServeAt(const std::shared_ptr<upstream_life>& at,
+                      inbound_call& call);
+  served_call RunAt(const std::shared_ptr<upstream_life>& at,
+                    inbound_call& call);
+  served_call GiveTo(const std::shared_ptr<upstream_life>& at,
+                     inbound_call& call);
+  void FollowSpeed(upstream_life& at, time_point now);
   void HealthLoop();
-  void CheckHealth(const std::shared_ptr<life>& at);
+  void CheckHealth(const std::shared_ptr<upstream_life>& at);
   void FindUpstream();
   void AdvanceLoop();
   void Replace(const instance_announcement& announced);
-  void Drain(life& at);
+  void Drain(upstream_life& at);
   [[nodiscard]] load_report Report();
 
   io_loop& loop_;
@@ -88,7 +89,7 @@
   fiber_group* fibers_ = nullptr;
   std::function<void(const instance_announcement&, bool)> on_change_;
   std::string health_path_ = "/health";
-  std::shared_ptr<life> life_;
+  std::shared_ptr<upstream_life> life_;
   std::uint64_t report_sequence_ = 0;
   std::size_t running_ = 0;
   bool draining_ = false;
--- /dev/null
+++ b/src/controllers/upstream_life.cc
@@ -0,0 +1,31 @@
+#include "controllers/upstream_life.h"
+
+namespace hornbeam {
+
+namespace {
+
+constexpr double kUsualPercent = 100;
+// Work at an upstream that has just started takes about so many times as long.
+constexpr double kColdFactor = 2;
+
+}  // namespace
+
+double upstream_life::Slowdown(bool waits, time_point now) const {
+  const double stated = waits ? 1.0 : speed.Percent() / kUsualPercent;
+  return stated * (now < cold_until ? kColdFactor : 1.0);
+}
+
+void upstream_life::Apply(const crest_change& change) {
+  Tell(change.admitted, wait_end::kAdmitted);
+  Tell(change.late, wait_end::kLate);
+  Tell(change.hopeless, wait_end::kHopeless);
+}
+
+void upstream_life::Tell(const std::vector<request_id>& ids, wait_end end) {
+  for (const request_id& id : ids) {
+    const auto found = waiting.find(id);
+    if (found != waiting.end()) found->second->Set(end);
+  }
+}
+
+}  // namespace hornbeam
--- /dev/null
+++ b/tests/route_times_test.cc
@@ -0,0 +1,41 @@
+// Measured times of routes at one upstream.
+#include "policy/route_times.h"
+
+#include <boost/test/unit_test.hpp>
+
+namespace hornbeam {
+
+namespace {
+
+using std::chrono::milliseconds;
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(route_times_test)
+
+BOOST_AUTO_TEST_CASE(a_slow_spell_does_not_look_like_long_work_later) {
+  route_times times;
+  times.Record("lookup", milliseconds(1000), 5);
+  BOOST_TEST((times.Expected("lookup", 1, duration(0)) == milliseconds(200)));
+  BOOST_TEST((times.Expected("lookup", 2, duration(0)) == milliseconds(400)));
+}
+
+BOOST_AUTO_TEST_CASE(an_unknown_route_is_guessed_from_its_objective) {
+  const route_times times;
+  BOOST_TEST(
+      (times.Expected("lookup", 3, milliseconds(400)) == milliseconds(100)));
+  BOOST_TEST((times.Expected("lookup", 3, milliseconds(-5)) == duration(0)));
+  BOOST_TEST(times.MeanUs() == 0);
+}
+
+BOOST_AUTO_TEST_CASE(brief_is_what_is_far_shorter_than_another_route) {
+  route_times times;
+  times.Record("history", milliseconds(500), 1);
+  times.Record("check", milliseconds(60), 1);
+  BOOST_TEST(times.IsBrief(milliseconds(60)));
+  BOOST_TEST(!times.IsBrief(milliseconds(260)));
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hornbeam
