--- a/src/base/byte_archive.h
+++ b/src/base/byte_archive.h
@@ -63,9 +63,10 @@
       out_.push_back(static_cast<char>(number));
       return;
     }
-    const int size = (std::bit_width(number) + 7) / 8;
+    const auto bits = static_cast<std::size_t>(std::bit_width(number));
+    const std::size_t size = (bits + 7) / 8;
     out_.push_back(static_cast<char>(detail::kFirstCount + size - 1));
-    SaveBytes(&number, static_cast<std::size_t>(size));
+    SaveBytes(&number, size);
   }
 
   [[nodiscard]] bool IsCompact() const {
