Only trials open the gate of a failing upstream

Calls that had begun before the gate was shut ended well and counted as its three trials. Now only what begins while it is shut counts.

--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -215,13 +215,15 @@
 
 served_call instance_server::RunAt(const std::shared_ptr<upstream_life>& at,
                                    inbound_call& call) {
+  const bool began_shut = at->failures.IsShut();
   served_call served = GiveTo(at, call);
   const bool is_cancelled = call.cancel.IsCancelled();
   const bool is_refusal = served.end.reason == end_reason::kUpstreamRefused;
   if (is_cancelled || is_refusal) return served;
   const bool was_shut = at->failures.IsShut();
-  at->failures.Record(served.end.fate != outcome::kAnswered ||
-                      served.end.status >= kFirstServerError);
+  const bool failed = served.end.fate != outcome::kAnswered ||
+                      served.end.status >= kFirstServerError;
+  at->failures.Record(failed, began_shut);
   if (at->failures.IsShut() != was_shut) {
     log_.Write(event_id::kUpstreamStateChanged,
                {{"instance", at->announced.instance},
--- a/src/policy/failure_gate.cc
+++ b/src/policy/failure_gate.cc
@@ -4,7 +4,7 @@
 
 namespace hornbeam {
 
-void failure_gate::Record(bool failed) {
+void failure_gate::Record(bool failed, bool began_shut) {
   constexpr std::uint32_t kMask = (1U << kRemembered) - 1;
   last_ = ((last_ << 1U) | (failed ? 1U : 0U)) & kMask;
   if (!shut_) {
@@ -12,6 +12,7 @@
     successes_ = 0;
     return;
   }
+  if (!began_shut) return;
   successes_ = failed ? 0 : successes_ + 1;
   if (successes_ < options_.successes_to_open) return;
   shut_ = false;
--- a/src/policy/failure_gate.h
+++ b/src/policy/failure_gate.h
@@ -33,8 +33,9 @@
   explicit failure_gate(const failure_gate_options& options)
       : options_(options) {}
 
-  // Notes how a call ended that was given to the upstream.
-  void Record(bool failed);
+  // Notes how a call ended that was given to the upstream; `began_shut` as the
+  // gate was when it began. What began before the gate was shut opens nothing.
+  void Record(bool failed, bool began_shut);
   // Whether a call may go there now; true while the gate is shut starts a
   // trial.
   bool Admits(bool idempotent, time_point now);
--- a/tests/failure_gate_test.cc
+++ b/tests/failure_gate_test.cc
@@ -24,7 +24,7 @@
     // The failing one is always idle, so it is always tried first.
     const bool is_given = !gated || gate.Admits(true, now);
     if (is_given) {
-      gate.Record(true);
+      gate.Record(true, gate.IsShut());
       ++failed;
     } else {
       next_sound = next_sound % 3 + 1;
@@ -46,7 +46,7 @@
 BOOST_AUTO_TEST_CASE(a_few_failures_among_successes_change_nothing) {
   failure_gate gate({});
   for (int call = 0; call < 200; ++call) {
-    gate.Record(call % 2 == 0);
+    gate.Record(call % 2 == 0, false);
     BOOST_TEST(gate.Admits(false, kStart));
   }
 }
@@ -54,27 +54,37 @@
 BOOST_AUTO_TEST_CASE(it_opens_after_trials_that_end_well) {
   failure_gate gate({});
   for (int call = 0; call < failure_gate::kRemembered; ++call) {
-    gate.Record(true);
+    gate.Record(true, false);
   }
   time_point now = kStart;
   BOOST_TEST(gate.Admits(true, now));
-  gate.Record(false);
+  gate.Record(false, true);
   BOOST_TEST(!gate.Admits(true, now));
   now += milliseconds(200);
   // Work that may not run again is tried more rarely.
   BOOST_TEST(!gate.Admits(false, now));
   BOOST_TEST(gate.Admits(true, now));
-  gate.Record(true);  // Not yet.
+  gate.Record(true, true);  // Not yet.
   for (int trial = 0; trial < 3; ++trial) {
     BOOST_TEST(gate.IsShut());
     now += milliseconds(200);
     BOOST_TEST(gate.Admits(true, now));
-    gate.Record(false);
+    gate.Record(false, true);
   }
   BOOST_TEST(!gate.IsShut());
   BOOST_TEST(gate.Admits(true, now));
 }
 
+// Of many calls at once some end well though they began before the trouble.
+BOOST_AUTO_TEST_CASE(what_began_before_it_was_shut_opens_nothing) {
+  failure_gate gate({});
+  for (int call = 0; call < failure_gate::kRemembered; ++call) {
+    gate.Record(true, false);
+  }
+  for (int call = 0; call < 10; ++call) gate.Record(false, false);
+  BOOST_TEST(gate.IsShut());
+}
+
 BOOST_AUTO_TEST_CASE(an_idle_upstream_that_fails_is_no_choice) {
   near_candidate failing{.near = true,
                          .report = {.slot_limit = 14,
