--- a/src/replication/replica_core_election.cc
+++ b/src/replication/replica_core_election.cc
@@ -116,7 +116,11 @@
 }
 
 void replica_core::Campaign(bool pre_vote) {
-  ScheduleNextCampaign();
+  if (pre_vote) {
+    ScheduleNextCampaign();
+  } else {
+    ResetElectionDeadline();
+  }
   leader_.reset();
   votes_.Clear();
   if (!pre_vote) {
