The bounds of repeats are read from the platform's settings

Cause: share and slack of the repeats were constants that fitted four site files; a deployment with lower bounds would have broken its rule. Now the settings carry the platform's terms, platform/ decodes the two that matter, and policy/call_budget derives the shared budget (85% of the share, as calls of repeated runs count too; 90% of the slack) and each node's part of the burst from the most nodes that it knew of at once. Redirects of operators are logged now.

--- a/include/hornbeam/platform_codec.h
+++ b/include/hornbeam/platform_codec.h
@@ -20,6 +20,15 @@
 struct http_request;
 struct http_response;
 
+// What the platform holds the whole deployment to.
+struct platform_terms {
+  // Dispatches beyond the first of each request that a service may get from all
+  // nodes together in a window: this share of its requests, and `repeat_slack`
+  // more. Nothing where the platform names no bound.
+  std::optional<double> repeat_share;
+  std::optional<std::uint32_t> repeat_slack;
+};
+
 // ---- Callers and upstreams ----
 
 // What a caller says about its request.
@@ -116,6 +125,11 @@
   platform_codec& operator=(const platform_codec&) = delete;
   virtual ~platform_codec() = default;
 
+  // `text` is what the settings hold; terms that the product doesn't need are
+  // passed over.
+  [[nodiscard]] virtual result<platform_terms, codec_fault> ReadTerms(
+      std::string_view text) const = 0;
+
   // ---- Callers and upstreams ----
 
   [[nodiscard]] virtual caller_statement ReadCaller(
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -78,6 +78,8 @@
      "The process cannot go on."},
     {event_id::kProcessReloaded, "process_reloaded", kInfo,
      "The settings file was read again after a hang-up signal."},
+    {event_id::kPlatformTermsRead, "platform_terms_read", kInfo,
+     "What the platform holds the deployment to was read from the settings."},
     {event_id::kPeerConnected, "peer_connected", kInfo,
      "A connection to another process opened."},
     {event_id::kPeerLost, "peer_lost", kWarning,
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -54,6 +54,7 @@
   kProcessStopped = 7003,
   kProcessFailed = 7004,
   kProcessReloaded = 7005,
+  kPlatformTermsRead = 7006,
   // Wire.
   kPeerConnected = 8001,
   kPeerLost = 8002,
--- a/src/controllers/operator_handler.cc
+++ b/src/controllers/operator_handler.cc
@@ -59,6 +59,10 @@
 
 http_response operator_handler::PointToLeader(const http_request& request) {
   const auto leader = endpoint::Parse(routing_.Status().leader);
+  log_.Write(event_id::kRoutingChangeEnded,
+             {{"target", request.target},
+              {"outcome", leader ? "redirected" : "no leader"},
+              {"leader", leader ? leader->ToString() : std::string()}});
   if (!leader) return codec_.WriteNotSure("no leader is known");
   return codec_.WriteRedirect(
       endpoint{.host = leader->host, .port = options_.port}.ToString(),
--- a/src/controllers/routed_ingress.cc
+++ b/src/controllers/routed_ingress.cc
@@ -467,10 +467,14 @@
 }
 
 call_budget& routed_ingress::Repeats(const std::string& service) {
-  call_budget& budget =
-      repeats_.try_emplace(service, options_.repeats).first->second;
-  budget.SetBurst(ShareOfBurst(options_.shared_burst, options_.burst_each,
-                               directory_.NodeCount()));
+  // Nodes that are out of sight spend all the same.
+  most_nodes_ = std::max(most_nodes_, directory_.NodeCount());
+  const std::uint32_t burst = ShareOfBurst(
+      options_.repeats.burst, options_.most_burst_each, most_nodes_);
+  const call_budget_options own{.per_mille = options_.repeats.per_mille,
+                                .burst = burst};
+  call_budget& budget = repeats_.try_emplace(service, own).first->second;
+  budget.SetBurst(burst);
   return budget;
 }
 
--- a/src/controllers/routed_ingress.h
+++ b/src/controllers/routed_ingress.h
@@ -30,11 +30,10 @@
   call_link_options link;
   near_first_options placement;
   return_pacing_options returns;
-  // Dispatches beyond the first of each request, for each service. All nodes
-  // share them: the bursts together are `shared_burst` and `burst_each` a node.
-  call_budget_options repeats{.per_mille = 170, .burst = 4};
-  std::uint32_t shared_burst = 24;
-  std::uint32_t burst_each = 2;
+  // Dispatches beyond the first of each request, for each service, by all
+  // nodes together; and what one node may save up of them.
+  shared_budget repeats{.per_mille = 170, .burst = 52};
+  std::uint32_t most_burst_each = 5;
 };
 
 // How requests of one route ended since the last line of the log.
@@ -113,6 +112,7 @@
   weighted_choice parts_;
   std::map<std::string, std::unique_ptr<call_link>> links_;
   std::map<std::string, call_budget> repeats_;
+  std::size_t most_nodes_ = 0;                  // That were known at once.
   std::map<std::string, route_habits> habits_;  // By route.
   std::map<std::string, route_counts> counts_;
 };
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -32,6 +32,9 @@
   // Role node: the service of the upstream until it announces itself; may be
   // empty.
   std::string service;
+  // Role node: what the platform holds the deployment to, in its own words; may
+  // be empty.
+  std::string platform_terms;
 };
 
 // Section [listen].
--- a/src/daemon/routed_node_daemon.cc
+++ b/src/daemon/routed_node_daemon.cc
@@ -103,7 +103,7 @@
                     .service = settings.process.service}),
         ingress_(loop_, clock_, random_, log, self_,
                  settings.process.availability_zone, codec, directory_, server_,
-                 MakeIngressOptions(settings)),
+                 MakeIngressOptions(settings, ReadTerms(settings, codec))),
         calls_(clock_, self_, server_, call_fibers_,
                call_server_options{
                    .body_limit_bytes = settings.limits.request_body_bytes,
@@ -131,8 +131,31 @@
   }
 
  private:
-  static ingress_options MakeIngressOptions(const daemon_settings& settings) {
+  // A platform that says something unreadable still gets a node, with the
+  // bounds that the product has of its own.
+  platform_terms ReadTerms(const daemon_settings& settings,
+                           const platform_codec& codec) {
+    const auto read = codec.ReadTerms(settings.process.platform_terms);
+    if (!read) {
+      log_.Write(event_id::kPlatformTermsRead,
+                 {{"taken", false}, {"reason", read.error().reason}});
+      return {};
+    }
+    const platform_terms& terms = read.value();
+    log_.Write(event_id::kPlatformTermsRead,
+               {{"taken", true},
+                {"repeat_share", terms.repeat_share.value_or(0)},
+                {"repeat_slack", terms.repeat_slack.value_or(0)}});
+    return terms;
+  }
+
+  static ingress_options MakeIngressOptions(const daemon_settings& settings,
+                                            const platform_terms& terms) {
     ingress_options options;
+    if (terms.repeat_share && terms.repeat_slack) {
+      options.repeats =
+          MakeSharedBudget(*terms.repeat_share, *terms.repeat_slack);
+    }
     options.link.silence_timeout = settings.limits.peer_silence_timeout;
     options.link.answer_limit_bytes = settings.limits.response_body_bytes;
     options.link.fate_grace = std::chrono::milliseconds(100);
--- a/src/daemon/setting_catalogue.cc
+++ b/src/daemon/setting_catalogue.cc
@@ -51,6 +51,12 @@
        settings.process.service = value;
        return true;
      }},
+    {"process", "platform_terms", kPath, kNode, 0, 0, "",
+     "What the platform holds the deployment to, in its own words.",
+     [](text, text value, daemon_settings& settings) {
+       settings.process.platform_terms = value;
+       return true;
+     }},
     {"listen", "callers", kAddress, kNode, 0, 0, kRequired,
      "Where callers reach the node over HTTP.",
      [](text, text value, daemon_settings& settings) {
@@ -82,7 +88,8 @@
                           settings.listen.announcements);
      }},
     {"listen", "upstream", kAddress, kNode, 0, 0, "",
-     "Where the upstream announces itself, where it is not listen.local.",
+     "Where the upstream beside the node listens, where that is known before "
+     "it announces itself.",
      [](text, text value, daemon_settings& settings) {
        if (value.empty()) return true;
        return StoreParsed(endpoint::Parse(value), settings.listen.upstream);
--- a/src/policy/call_budget.cc
+++ b/src/policy/call_budget.cc
@@ -6,13 +6,22 @@
 
 namespace {
 constexpr std::uint64_t kOneCall = 1000;
+// Parts of a bound that are used: calls of repeated runs count as repeats too,
+// and nodes learn late how many they are.
+constexpr double kUsedShare = 0.85;
+constexpr double kUsedSlack = 0.9;
 }  // namespace
 
-std::uint32_t ShareOfBurst(std::uint32_t shared, std::uint32_t each,
+shared_budget MakeSharedBudget(double share, std::uint32_t slack) {
+  return {.per_mille = static_cast<std::uint32_t>(
+              share * kUsedShare * static_cast<double>(kOneCall)),
+          .burst = static_cast<std::uint32_t>(slack * kUsedSlack)};
+}
+
+std::uint32_t ShareOfBurst(std::uint32_t shared, std::uint32_t most,
                            std::size_t nodes) {
-  const auto count =
-      static_cast<std::uint32_t>(std::max<std::size_t>(nodes, 1));
-  return each + shared / count;
+  const std::size_t share = shared / std::max<std::size_t>(nodes, 1);
+  return static_cast<std::uint32_t>(std::clamp<std::size_t>(share, 1, most));
 }
 
 call_budget::call_budget(call_budget_options options)
--- a/src/policy/call_budget.h
+++ b/src/policy/call_budget.h
@@ -13,9 +13,19 @@
   std::uint32_t burst = 10;
 };
 
-// The burst of one of `nodes` nodes that share a budget: all bursts together
-// stay within `shared` + `each` for every node.
-std::uint32_t ShareOfBurst(std::uint32_t shared, std::uint32_t each,
+// What all nodes together may spend on one service.
+struct shared_budget {
+  std::uint32_t per_mille = 0;  // Of the ordinary calls.
+  std::uint32_t burst = 0;
+};
+
+// The budget that stays within a bound of `share` of the ordinary calls and
+// `slack` more, which counts also the calls that repeated runs make in turn.
+shared_budget MakeSharedBudget(double share, std::uint32_t slack);
+
+// The burst of one of `nodes` nodes that share one of `shared`: one at least,
+// or none could ever be saved up, and `most` at most.
+std::uint32_t ShareOfBurst(std::uint32_t shared, std::uint32_t most,
                            std::size_t nodes);
 
 // Counts ordinary calls in and extra calls out; what is granted never passes
--- a/tests/call_limits_test.cc
+++ b/tests/call_limits_test.cc
@@ -160,13 +160,26 @@
   BOOST_TEST(limit.Limit() == kSlots);
 }
 
+// What a deployment allows beside a share of the calls, and its nodes.
+struct deployment_bound {
+  std::uint32_t slack = 0;
+  std::size_t nodes = 0;
+};
+
 // Seventy-one nodes with bursts of four each passed what a deployment allows.
-BOOST_AUTO_TEST_CASE(bursts_of_many_nodes_stay_within_their_share) {
-  for (const std::size_t nodes : {1U, 12U, 14U, 61U, 71U, 1300U}) {
-    const std::uint32_t burst = ShareOfBurst(24, 2, nodes);
-    BOOST_TEST(burst >= 2U);
-    BOOST_TEST(burst * nodes <= 24 + 2 * nodes);
+BOOST_AUTO_TEST_CASE(bursts_of_many_nodes_stay_within_their_bound) {
+  for (const deployment_bound& bound :
+       {deployment_bound{58, 12}, deployment_bound{62, 14},
+        deployment_bound{162, 61}, deployment_bound{182, 71},
+        deployment_bound{20, 12}, deployment_bound{2640, 1300}}) {
+    const shared_budget shared = MakeSharedBudget(0.2, bound.slack);
+    BOOST_TEST(shared.per_mille < 200U);
+    const std::uint32_t burst = ShareOfBurst(shared.burst, 5, bound.nodes);
+    BOOST_TEST(burst >= 1U);
+    BOOST_TEST(burst <= 5U);
+    BOOST_TEST(burst * bound.nodes <= bound.slack);
   }
+  BOOST_TEST(ShareOfBurst(52, 5, 0) == 5U);
   call_budget budget({.per_mille = 170, .burst = 4});
   budget.SetBurst(2);
   BOOST_TEST(budget.TrySpend());
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -176,6 +176,32 @@
   BOOST_TEST(rejected.Header("Retry-After").value() == "0.125");
 }
 
+BOOST_AUTO_TEST_CASE(terms_are_read_among_others) {
+  const platform_codec_impl codec;
+  const auto terms = codec.ReadTerms(
+      "seedLagS=3,lossSlackS=0.2,retryBudgetRatio=0.25,strict=true,"
+      "budgetSlack=58,probesPerS=60");
+  BOOST_REQUIRE(terms.has_value());
+  BOOST_TEST(terms.value().repeat_share.value() == 0.25);
+  BOOST_TEST(terms.value().repeat_slack.value() == 58U);
+  const auto none = codec.ReadTerms("");
+  BOOST_REQUIRE(none.has_value());
+  BOOST_TEST(!none.value().repeat_share);
+  BOOST_TEST(!none.value().repeat_slack);
+}
+
+BOOST_AUTO_TEST_CASE(absurd_terms_are_faults_that_name_them) {
+  const platform_codec_impl codec;
+  for (const std::string text :
+       {"retryBudgetRatio=-0.1", "retryBudgetRatio=nan", "retryBudgetRatio=11",
+        "retryBudgetRatio=", "budgetSlack=-1", "budgetSlack=1.5",
+        "budgetSlack=true", "retryBudgetRatio=0.2,budgetSlack"}) {
+    const auto terms = codec.ReadTerms(text);
+    BOOST_REQUIRE(!terms.has_value());
+    BOOST_TEST(!terms.error().reason.empty());
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hornbeam
--- a/tests/platform_messages_fuzz.cc
+++ b/tests/platform_messages_fuzz.cc
@@ -1,4 +1,4 @@
-// Announcements and routing changes with any bytes in them.
+// Announcements, terms and routing changes with any bytes in them.
 //
 // SOURCES: platform/json_fields.cc platform/routing_json.cc
 // SOURCES: src/routing/routing_codec.cc
@@ -47,6 +47,16 @@
   FuzzCheck(announced.cold_for >= duration(0));
 }
 
+void FuzzTerms(std::string_view text) {
+  const platform::platform_codec_impl codec;
+  const auto terms = codec.ReadTerms(text);
+  if (!terms) {
+    FuzzCheck(!terms.error().reason.empty());
+    return;
+  }
+  FuzzCheck(terms.value().repeat_share.value_or(0) >= 0);
+}
+
 }  // namespace
 
 }  // namespace hornbeam
@@ -57,6 +67,7 @@
   hornbeam::FuzzChange(text, true);
   hornbeam::FuzzChange(text, false);
   hornbeam::FuzzAnnouncement(text);
+  hornbeam::FuzzTerms(text);
   // Most bytes are no JSON at all: these stand where a value is.
   const std::string value(text);
   hornbeam::FuzzChange(
