--- a/src/policy/crest_queue.cc
+++ b/src/policy/crest_queue.cc
@@ -47,7 +47,8 @@
   };
   if (rank(a) != rank(b)) return rank(a) < rank(b);
   if (!newest_first_ || a.late) {
-    return a.call.objective_at < b.call.objective_at;
+    return std::tuple(a.call.objective_at, a.arrival) <
+           std::tuple(b.call.objective_at, b.arrival);
   }
   if (a.call.brief != b.call.brief) return a.call.brief;
   return a.arrival > b.arrival;
@@ -144,7 +145,7 @@
   const bool many =
       static_cast<double>(waiting_.size()) > kManyWaitingShare * limit_;
   if (many == std::exchange(newest_first_, many)) return;
-  std::ranges::stable_sort(waiting_, [this](const entry& a, const entry& b) {
+  std::ranges::sort(waiting_, [this](const entry& a, const entry& b) {
     return Before(a, b);
   });
 }
