An upstream that joined is tried once its cold time is over

One that has told nothing is reckoned twice as slow as the others, so nobody chose it while these had room, and it never told anything. Now that holds for 4 s, longer than upstreams are cold; then it gets one call of each node until it has told its time. Ruled out: memberships that did not arrive (their nodes were told of). Test red before: one_that_told_nothing_for_long_is_tried.

--- a/tests/near_first_test.cc
+++ b/tests/near_first_test.cc
@@ -90,6 +90,17 @@
   BOOST_TEST(Choose(busy) == 0U);
 }
 
+// Else one that joins gets nothing while the others have room.
+BOOST_AUTO_TEST_CASE(one_that_told_nothing_for_long_is_tried) {
+  near_candidate joined{.near = true, .known_for = std::chrono::seconds(1)};
+  BOOST_TEST(Choose({MakeCandidate(true, 3), joined}) == 0U);
+  joined.known_for = std::chrono::seconds(5);
+  BOOST_TEST(Choose({MakeCandidate(true, 3), joined}) == 1U);
+  // One call is enough to know it.
+  joined.own_since = 1;
+  BOOST_TEST(Choose({MakeCandidate(true, 3), joined}) == 0U);
+}
+
 BOOST_AUTO_TEST_CASE(ties_do_not_all_go_the_same_way) {
   const std::vector<near_candidate> equal(3, MakeCandidate(true, 0));
   std::set<std::size_t> chosen;
