--- a/src/controllers/fleet_directory.cc
+++ b/src/controllers/fleet_directory.cc
@@ -18,9 +18,8 @@
 
 // Takes over what is known of the load from an earlier entry of the same life.
 fleet_member MakeMember(const upstream_lease& lease, const endpoint& address,
-                        const std::vector<fleet_member>& known,
-                        time_point now) {
-  fleet_member member{.lease = lease, .address = address, .known_since = now};
+                        const std::vector<fleet_member>& known) {
+  fleet_member member{.lease = lease, .address = address};
   const auto same = std::ranges::find_if(known, [&](const fleet_member& each) {
     return each.lease.node == lease.node &&
            each.lease.incarnation == lease.incarnation &&
@@ -194,8 +193,7 @@
   std::vector<fleet_member> next;
   for (const upstream_lease& lease : update.present) {
     const auto address = endpoint::Parse(lease.peers_address);
-    if (address)
-      next.push_back(MakeMember(lease, *address, members, clock_.Now()));
+    if (address) next.push_back(MakeMember(lease, *address, members));
   }
   const auto is_replaced = [&](const fleet_member& each) {
     const auto same_node = [&](const fleet_member& other) {
--- a/src/controllers/fleet_directory.h
+++ b/src/controllers/fleet_directory.h
@@ -32,7 +32,6 @@
   std::uint32_t own_since = 0;  // Dispatched since the report and not ended.
   time_point avoid_until;       // It could not be reached lately.
   std::uint32_t misses = 0;     // Dispatches in a row that did not reach it.
-  time_point known_since;
 
   [[nodiscard]] upstream_id Id() const {
     return {.node = lease.node, .incarnation = lease.incarnation};
--- a/src/controllers/routed_ingress.cc
+++ b/src/controllers/routed_ingress.cc
@@ -327,8 +327,7 @@
                               .reported = each->reported,
                               .report_age = now - each->reported_at,
                               .own_since = each->own_since,
-                              .crossing = near ? duration(0) : kCrossing,
-                              .known_for = now - each->known_since};
+                              .crossing = near ? duration(0) : kCrossing};
       });
   const double bytes = habits_[call.route_name].bytes;
   const auto chosen =
--- a/src/policy/near_first.cc
+++ b/src/policy/near_first.cc
@@ -85,10 +85,7 @@
     if (!all_fail && fails(each)) continue;
     const duration wait = ExpectedWaitAt(each, options);
     duration work = ServiceTime(each);
-    const bool is_tried = each.own_since > 0 || each.report.running_short > 0;
-    if (work == duration(0) && (is_tried || each.known_for < options.new_for)) {
-      work = unknown_time;
-    }
+    if (work == duration(0)) work = unknown_time;
     const bool is_slow = each.report.slowdown_percent > 100 &&
                          each.report_age < options.slow_spell;
     // A slow spell ends before the call does, mostly.
--- a/src/policy/near_first.h
+++ b/src/policy/near_first.h
@@ -24,8 +24,7 @@
   duration report_age{};
   // Dispatched here and not ended since the report.
   std::uint32_t own_since = 0;
-  duration crossing{};   // There and back.
-  duration known_for{};  // Since it was first heard of.
+  duration crossing{};  // There and back.
 };
 
 struct near_first_options {
@@ -42,10 +41,8 @@
   // An upstream that failed so much of its last work is chosen only when there
   // is no other.
   std::uint32_t failing_per_mille = 600;
-  // How many times as long as the others one takes that has told nothing yet,
-  // and for how long: upstreams are cold for less. After that it is tried.
+  // How many times as long as the others one takes that has told nothing yet.
   int new_time_factor = 2;
-  duration new_for = std::chrono::seconds(4);
   // A slow spell lasts about so long; older figures say nothing of it.
   duration slow_spell = std::chrono::milliseconds(150);
 };
--- a/tests/near_first_test.cc
+++ b/tests/near_first_test.cc
@@ -90,15 +90,18 @@
   BOOST_TEST(Choose(busy) == 0U);
 }
 
-// Else one that joins gets nothing while the others have room.
-BOOST_AUTO_TEST_CASE(one_that_told_nothing_for_long_is_tried) {
-  near_candidate joined{.near = true, .known_for = std::chrono::seconds(1)};
-  BOOST_TEST(Choose({MakeCandidate(true, 3), joined}) == 0U);
-  joined.known_for = std::chrono::seconds(5);
-  BOOST_TEST(Choose({MakeCandidate(true, 3), joined}) == 1U);
-  // One call is enough to know it.
-  joined.own_since = 1;
-  BOOST_TEST(Choose({MakeCandidate(true, 3), joined}) == 0U);
+// Else nobody ever learns how long it takes.
+BOOST_AUTO_TEST_CASE(one_that_told_nothing_gets_work_in_the_end) {
+  const std::vector<near_candidate> both = {MakeCandidate(true, 3),
+                                            {.near = true}};
+  int tried = 0;
+  for (std::uint64_t tie = 0; tie < 1000; ++tie) {
+    tried += ChooseNearFirst(both, milliseconds(600), kFiveKib, tie, kOptions)
+                         .value() == 1
+                 ? 1
+                 : 0;
+  }
+  BOOST_TEST(tried > 0);
 }
 
 BOOST_AUTO_TEST_CASE(ties_do_not_all_go_the_same_way) {
