--- a/src/replication/replica_core.h
+++ b/src/replication/replica_core.h
@@ -173,6 +173,11 @@
   bool DropSucceededVoter(replica_membership& membership) const;
   bool DropSurplusVoter(replica_membership& membership) const;
   [[nodiscard]] bool IsSilent(const replica_identity& id) const;
+  [[nodiscard]] auto IsSilentVoter() const {
+    return [this](const replica_member& member) {
+      return member.voter && IsSilent(member.identity);
+    };
+  }
   void ChangeMembership(replica_membership membership);
   void ConsiderNewReplica(const replica_identity& replica);
   [[nodiscard]] bool IsCaughtUp(const replica_identity& id) const;
--- a/src/replication/replica_core_membership.cc
+++ b/src/replication/replica_core_membership.cc
@@ -130,11 +130,9 @@
 bool replica_core::AdmitNewName(const replica_membership& membership,
                                 replica_member& learner) const {
   const std::size_t voters = membership.VoterCount();
-  const auto is_gone = [&](const replica_member& member) {
-    return member.voter && IsSilent(member.identity);
-  };
-  const bool stands_in = voters == options_.wanted_voters &&
-                         std::ranges::any_of(membership.members, is_gone);
+  const bool stands_in =
+      voters == options_.wanted_voters &&
+      std::ranges::any_of(membership.members, IsSilentVoter());
   if (options_.wanted_voters > 0 && voters >= options_.wanted_voters &&
       !stands_in) {
     return false;
@@ -151,10 +149,7 @@
     return false;
   }
   auto& members = membership.members;
-  const auto is_silent = [&](const replica_member& member) {
-    return member.voter && IsSilent(member.identity);
-  };
-  const auto silent = std::ranges::find_if(members, is_silent);
+  const auto silent = std::ranges::find_if(members, IsSilentVoter());
   if (silent != members.end()) {
     members.erase(silent);
     return true;
