HTTP client bounds what an upstream may send that is no answer

Cause: the read buffer of a connection had no limit, so that an endless chunk extension or trailer grew until the call's deadline, and each body could grow to 64 MiB whatever the others held: a few upstream answers without an end exceed the memory of a node. Change: limits on an answer's head and on what is read ahead of the body, and a limit on all bodies being received; beyond it only answers above their equal share end, as too large. Result: answer_without_end_fails_at_its_limit and bodies_without_end_share_a_limit_and_spare_others (new).

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -32,7 +32,8 @@
 constexpr std::size_t kMaxIdleConnections = 256;
 
 struct open_connection {
-  explicit open_connection(tcp::socket socket) : stream(std::move(socket)) {}
+  open_connection(tcp::socket socket, std::size_t buffer_limit_bytes)
+      : stream(std::move(socket)), buffer(buffer_limit_bytes) {}
 
   beast::tcp_stream stream;
   beast::flat_buffer buffer;
@@ -104,10 +105,11 @@
         options_(std::move(options)),
         clock_(clock) {}
 
-  result<http_response, http_call_error> Call(const http_request& request,
-                                              time_point deadline,
-                                              cancel_source& cancel) override {
-    auto connection = TakeIdleConnection();
+  result<http_response, http_call_error> Call(
+      const http_request& request, time_point deadline, cancel_source& cancel,
+      connection_choice choice) override {
+    auto connection =
+        choice == connection_choice::kPooled ? TakeIdleConnection() : nullptr;
     if (!connection) connection = Connect(deadline);
     if (!connection) return http_call_error::kNotSent;
     if (cancel.IsCancelled()) return http_call_error::kNotSent;
@@ -149,7 +151,8 @@
     if (!socket) return nullptr;
     boost::system::error_code ignored;
     socket.value().set_option(tcp::no_delay(true), ignored);
-    return std::make_unique<open_connection>(std::move(socket).value());
+    return std::make_unique<open_connection>(std::move(socket).value(),
+                                             2 * options_.head_limit_bytes);
   }
 
   exchange_result Exchange(open_connection& connection,
@@ -163,10 +166,11 @@
     if (error) return http_call_error::kLost;
     for (int skipped = 0; skipped < kMaxStaleAnswers; ++skipped) {
       http::response_parser<http::string_body> parser;
+      parser.header_limit(
+          static_cast<std::uint32_t>(options_.head_limit_bytes));
       parser.body_limit(options_.answer_limit_bytes);
       if (request.method == "HEAD") parser.skip(true);
-      http::async_read(connection.stream, connection.buffer, parser,
-                       FiberWait(error));
+      error = ReadAnswer(connection, parser);
       if (error) return ToError(error);
       const bool is_interim = http::to_status_class(parser.get().result()) ==
                               http::status_class::informational;
@@ -183,6 +187,31 @@
     return http_call_error::kMalformed;
   }
 
+  using answer_parser = http::response_parser<http::string_body>;
+
+  // Reads one answer within the limit on all bodies that are being received.
+  boost::system::error_code ReadAnswer(open_connection& connection,
+                                       answer_parser& parser) {
+    boost::system::error_code error;
+    std::size_t counted_bytes = 0;
+    // Parses the head and the body that arrived with it in one step.
+    parser.eager(true);
+    ++receiving_;
+    while (!error && !parser.is_done()) {
+      http::async_read_some(connection.stream, connection.buffer, parser,
+                            FiberWait(error));
+      const std::size_t size = parser.get().body().size();
+      received_bytes_ += size - counted_bytes;
+      counted_bytes = size;
+      const std::size_t total = options_.total_answer_limit_bytes;
+      if (received_bytes_ > total && counted_bytes > total / receiving_)
+        error = http::error::body_limit;
+    }
+    --receiving_;
+    received_bytes_ -= counted_bytes;
+    return error;
+  }
+
   enum class echo : std::uint8_t { kSame, kOther, kMissing };
 
   [[nodiscard]] echo CompareEcho(
@@ -199,6 +228,8 @@
 
   static http_call_error ToError(const boost::system::error_code& error) {
     if (error == beast::error::timeout) return http_call_error::kTimeout;
+    if (error == http::error::buffer_overflow)
+      return http_call_error::kMalformed;
     if (error == http::error::body_limit) return http_call_error::kTooLarge;
     const bool cut_off = error == http::error::end_of_stream ||
                          error == http::error::partial_message;
@@ -226,6 +257,9 @@
   const http_client_options options_;
   const clock_source& clock_;
   std::vector<std::unique_ptr<open_connection>> idle_;
+  // Answers that are being received, and the bytes of their bodies so far.
+  std::size_t receiving_ = 0;
+  std::size_t received_bytes_ = 0;
 };
 
 }  // namespace
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -26,8 +26,21 @@
                // request; the call may have run.
 };
 
+// Which connection carries a call.
+enum class connection_choice : std::uint8_t {
+  kPooled,  // An idle one if there is one.
+  kUnused,  // A new one.
+};
+
 struct http_client_options {
   std::size_t answer_limit_bytes = 64UL * 1024 * 1024;
+  // Limit on the bodies that are being received at one time, in total. An
+  // answer that exceeds its equal share of it ends as kTooLarge, so that
+  // answers without an end neither exhaust the memory nor end other calls.
+  std::size_t total_answer_limit_bytes = 64UL * 1024 * 1024;
+  // Limit on an answer's head, and on everything that is read ahead of the body
+  // parser: one chunk header with its extensions, or all trailers.
+  std::size_t head_limit_bytes = 64UL * 1024;
   // A connection that was idle for longer is not reused, because the server may
   // be about to close it. A shorter timeout announced by the server takes
   // precedence.
@@ -53,9 +66,11 @@
 
   // Sends one request and waits for the complete answer. `cancel` closes the
   // connection, which the server may take as a request to stop the call.
+  // With connection_choice::kUnused no byte of an earlier exchange can be taken
+  // for the answer.
   virtual result<http_response, http_call_error> Call(
-      const http_request& request, time_point deadline,
-      cancel_source& cancel) = 0;
+      const http_request& request, time_point deadline, cancel_source& cancel,
+      connection_choice choice = connection_choice::kPooled) = 0;
 
  protected:
   http_client() = default;
--- a/tests/http_exchange_test.cc
+++ b/tests/http_exchange_test.cc
@@ -1,5 +1,6 @@
 // Pipelining in the HTTP server, and irregular answers of upstreams in the HTTP
 // client.
+#include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <thread>
@@ -226,6 +227,77 @@
   BOOST_TEST(run.bodies.back() == "x");
 }
 
+// Guards against an upstream that sends bytes that are no answer until the
+// caller closes the connection: the call must end at a limit, not at its
+// deadline, and the node must not buffer all of them.
+BOOST_AUTO_TEST_CASE(answer_without_end_fails_at_its_limit) {
+  constexpr std::size_t kMany = 1024 * 1024;
+  const auto repeated = [](const std::string& text) {
+    std::string all;
+    while (all.size() < kMany) all += text;
+    return all;
+  };
+  const std::string status = "HTTP/1.1 200 OK\r\n";
+  const std::string chunked =
+      status + "X-Id: 0\r\nTransfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::string> answers = {
+      status + repeated("X-More: of the same\r\n"),
+      status + "X-Long: " + std::string(kMany, 'a'),
+      std::string(kMany, 'a'),
+      chunked + "5;" + std::string(kMany, 'a'),
+      chunked + "0\r\n" + repeated("X-Trailer: more\r\n"),
+      repeated("HTTP/1.1 102 Processing\r\n\r\n"),
+  };
+  for (const std::string& answer : answers) {
+    const client_run run =
+        CallSequentially([&](const std::string&) { return answer; }, 1);
+    BOOST_TEST(run.bodies.front() == ErrorText(http_call_error::kMalformed));
+  }
+}
+
+// Guards against bodies without an end that exhaust the memory, or that end the
+// calls of others when the limit on all of them is reached.
+BOOST_AUTO_TEST_CASE(bodies_without_end_share_a_limit_and_spare_others) {
+  constexpr std::size_t kTotal = 256UL * 1024;
+  const std::string endless =
+      "HTTP/1.1 200 OK\r\nX-Id: endless\r\n\r\n" + std::string(kTotal, 'a');
+  std::vector<std::string> ends;
+  std::string own;
+  RunOnLoop([&](io_loop& loop) {
+    const system_clock_source clock;
+    fiber_group fibers;
+    fiber_group calls;
+    scripted_upstream upstream(loop, fibers, [&](const std::string& head) {
+      const std::string id = GetHeadField(head, "X-Id");
+      return id == "endless" ? endless : Answer(id, "own");
+    });
+    const auto client = http_client::MakeHttpClient(
+        loop, "127.0.0.1", upstream.Port(),
+        http_client_options{.total_answer_limit_bytes = kTotal,
+                            .echoed_field = "X-Id"},
+        clock);
+    const auto call = [&](const std::string& id) {
+      cancel_source never;
+      const auto answer = client->Call(
+          {.method = "GET", .target = "/", .headers = {{"X-Id", id}}},
+          clock.Now() + seconds(5), never);
+      return answer ? answer.value().body : ErrorText(answer.error());
+    };
+    for (int each = 0; each < 4; ++each) {
+      calls.Start([&] { ends.push_back(call("endless")); });
+    }
+    io_loop::SleepFor(milliseconds(20));
+    own = call("small");
+    calls.WaitEmpty(TestDeadline());
+    upstream.Stop();
+    fibers.WaitEmpty(TestDeadline());
+  });
+  BOOST_TEST(own == "own");
+  const std::string too_large = ErrorText(http_call_error::kTooLarge);
+  // The last one may fit once the others have ended.
+  BOOST_TEST(std::ranges::count(ends, too_large) >= 3);
+}
+
 // Guards against reuse of a connection that the server is about to close.
 BOOST_AUTO_TEST_CASE(announced_idle_timeout_is_respected) {
   const client_run run = CallSequentially(
