A request that an upstream refused does not return on a kept connection

Cause: a request that every upstream refused waits and is offered again, with the same id and possibly on the same connection. An upstream that writes the earlier refusal once more is then believed: the caller is told not-run, or the request goes to a second upstream, while the first one runs it. Change: the serving node remembers the ids that its upstream refused until their deadline and dispatches them again only on a new connection. Ids of other requests were compared before. The hop between nodes is not affected: each dispatch has its own random id there.

--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -255,7 +255,13 @@
                        .body = std::move(call.body)};
   codec_.AddDispatchFields(request.headers, upstream->announced.instance,
                            call.deadline - started);
-  auto answer = upstream->client->Call(request, call.deadline, call.cancel);
+  const std::string caller_id(
+      request.Header(codec_.EchoedField()).value_or(std::string_view()));
+  const auto choice = upstream->refused.Contains(caller_id)
+                          ? connection_choice::kUnused
+                          : connection_choice::kPooled;
+  auto answer =
+      upstream->client->Call(request, call.deadline, call.cancel, choice);
   const duration ran_for = clock_.Now() - started;
   if (answer) {
     const auto reported_load =
@@ -275,8 +281,10 @@
   http_response& response = answer.value();
   const upstream_answer read =
       codec_.ReadAnswer(response.status, response.headers);
-  if (!read.ran)
+  if (!read.ran) {
+    upstream->refused.Record(caller_id, call.deadline, clock_.Now());
     return MakeServedCall(outcome::kNotRun, end_reason::kRejectedByUpstream);
+  }
   constexpr unsigned kFirstNonSuccessStatus = 300;
   const bool succeeded = response.status < kFirstNonSuccessStatus;
   // A success without the upstream's signature did not come from the upstream.
--- a/src/controllers/upstream_lifecycle.h
+++ b/src/controllers/upstream_lifecycle.h
@@ -13,6 +13,7 @@
 #include "http/http_client.h"
 #include "io/fiber_signal.h"
 #include "policy/circuit_breaker.h"
+#include "policy/refusal_memory.h"
 #include "policy/route_times.h"
 #include "policy/shedding_queue.h"
 #include "policy/slowdown_detector.h"
@@ -35,6 +36,12 @@
   instance_announcement announced;
   endpoint address;
   std::unique_ptr<http_client> client;
+  // Health checks carry no request id, so an answer to a call could pass for
+  // theirs on a shared connection, and the other way round.
+  std::unique_ptr<http_client> health_client;
+  // Instance that answered the last health check; empty before the first one.
+  std::string answering_instance;
+  refusal_memory refused;
   shedding_queue queue;
   std::unordered_map<request_id, fiber_signal<wait_result>*> waiters;
   route_times times;
