An odd announcement of another writer no longer replaces the upstream

Cause: an announcement was taken if it was readable. One with port 0, an address of another machine, an unknown service, an empty or endless name, or a start time in the future replaced the node's upstream; with the last one the announcements of the real upstream counted as stale for good. Health checks shared their connections with calls, although they carry no id.

--- a/src/controllers/instance_handler.cc
+++ b/src/controllers/instance_handler.cc
@@ -6,7 +6,6 @@
 #include "base/event_log.h"
 #include "base/metrics_registry.h"
 #include "controllers/instance_server.h"
-#include "wire/endpoint.h"
 
 namespace hornbeam {
 
@@ -39,8 +38,8 @@
   }
   if (const auto* announced =
           std::get_if<instance_announcement>(&node_message)) {
-    if (!endpoint::Parse(announced->address)) {
-      const codec_error error{.reason = "address: no IP number with a port"};
+    if (const auto reason = server_.RejectionReason(*announced)) {
+      const codec_error error{.reason = std::string(*reason)};
       log_.Write(event_id::kAnnouncementRejected,
                  {{"target", request.target}, {"reason", error.reason}});
       return codec_.WriteError(error);
--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -32,6 +32,13 @@
 constexpr duration kSlowdownCheckInterval = std::chrono::milliseconds(15);
 constexpr double kWholePercent = 100;
 constexpr unsigned kFirstServerErrorStatus = 500;
+// Longer names of instances and services are rejected; they travel in every
+// lease and load report.
+constexpr std::size_t kMaxNameBytes = 256;
+// Limit on the answers that are being received from the upstream, in total. The
+// smallest machine of the known deployments has 160 MB.
+constexpr std::size_t kTotalAnswerBytes = 32UL * 1024 * 1024;
+constexpr std::size_t kHealthAnswerBytes = 64UL * 1024;
 // Minimum time between two updates of the waiting calls.
 constexpr duration kMinAdvanceInterval = std::chrono::milliseconds(2);
 
@@ -70,7 +77,26 @@
 
 // ---- Announcements of the upstream ----
 
+std::optional<std::string_view> instance_server::RejectionReason(
+    const instance_announcement& announced) const {
+  if (announced.instance.empty() || announced.instance.size() > kMaxNameBytes)
+    return "the instance's id is empty or too long";
+  if (announced.service.size() > kMaxNameBytes)
+    return "the service's name is too long";
+  const auto address = endpoint::Parse(announced.address);
+  if (!address || address->port == 0)
+    return "the address is no IP number with a port";
+  if (options_.upstream && *address != *options_.upstream)
+    return "the address is not that of this node's upstream";
+  const bool is_known = announced.service == options_.service ||
+                        (options_.is_known_service &&
+                         options_.is_known_service(announced.service));
+  if (!is_known) return "the service is unknown";
+  return std::nullopt;
+}
+
 void instance_server::Announce(const instance_announcement& announced) {
+  if (RejectionReason(announced)) return;
   const bool is_same_id =
       upstream_ && upstream_->announced.instance == announced.instance;
   const bool is_first_announcement =
@@ -79,8 +105,10 @@
                                       upstream_->announced.started_at_ms ==
                                           announced.started_at_ms);
   if (!is_same) {
-    // An announcement of an earlier incarnation is stale.
-    if (upstream_ &&
+    // An announcement of an earlier incarnation is stale, unless that
+    // incarnation answers the health checks: then the later announcement was
+    // wrong.
+    if (upstream_ && upstream_->answering_instance != announced.instance &&
         announced.started_at_ms < upstream_->announced.started_at_ms) {
       return;
     }
@@ -108,8 +136,10 @@
   upstream_->client = http_client::MakeHttpClient(
       loop_, address->host, address->port,
       http_client_options{.answer_limit_bytes = options_.answer_limit_bytes,
+                          .total_answer_limit_bytes = kTotalAnswerBytes,
                           .echoed_field = std::string(codec_.EchoedField())},
       clock_);
+  upstream_->health_client = MakeHealthClient(*address);
   const auto limit =
       static_cast<std::uint32_t>(std::floor(kFullSpeedShare * announced.slots));
   upstream_->queue.SetLimits(std::max(limit, 1U), announced.slots);
@@ -122,6 +152,15 @@
   on_change_(announced, announced.draining);
 }
 
+std::unique_ptr<http_client> instance_server::MakeHealthClient(
+    const endpoint& address) {
+  return http_client::MakeHttpClient(
+      loop_, address.host, address.port,
+      http_client_options{.answer_limit_bytes = kHealthAnswerBytes,
+                          .total_answer_limit_bytes = kHealthAnswerBytes},
+      clock_);
+}
+
 void instance_server::Withdraw(const instance_withdrawal& withdrawn) {
   const bool is_known =
       upstream_ && upstream_->announced.instance == withdrawn.instance &&
@@ -373,8 +412,7 @@
 void instance_server::FindUpstream() {
   if (!options_.upstream) return;
   const endpoint& address = *options_.upstream;
-  const auto client = http_client::MakeHttpClient(
-      loop_, address.host, address.port, options_.answer_limit_bytes, clock_);
+  const auto client = MakeHealthClient(address);
   cancel_source never;
   const auto answer =
       client->Call({.method = "GET", .target = health_path_},
@@ -395,7 +433,7 @@
     const std::shared_ptr<upstream_lifecycle>& upstream) {
   cancel_source never;
   const http_request request{.method = "GET", .target = health_path_};
-  const auto answer = upstream->client->Call(
+  const auto answer = upstream->health_client->Call(
       request, clock_.Now() + options_.health_timeout, never);
   const bool was_reachable = upstream->reachable;
   upstream->reachable = answer || answer.error() != http_call_error::kNotSent;
@@ -405,7 +443,12 @@
                 {"state", upstream->reachable ? "reachable" : "unreachable"}});
   }
   std::optional<upstream_load> load;
-  if (answer) load = codec_.ReadHealth(answer.value()).load;
+  if (answer) {
+    health_answer health = codec_.ReadHealth(answer.value());
+    load = health.load;
+    if (health.healthy)
+      upstream->answering_instance = std::move(health.instance);
+  }
   const time_point now = clock_.Now();
   upstream->reports_load = load.has_value();
   if (load) upstream->detector.Observe(load->slowdown_percent, now);
--- a/src/controllers/instance_server.h
+++ b/src/controllers/instance_server.h
@@ -8,6 +8,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <string_view>
 
 #include "hornbeam/clock_source.h"
 #include "hornbeam/platform_codec.h"
@@ -18,6 +19,7 @@
 
 class event_log;
 class fiber_group;
+class http_client;
 class io_loop;
 struct upstream_lifecycle;
 
@@ -30,6 +32,9 @@
   // starts; without an address the server waits for the first announcement.
   std::optional<endpoint> upstream;
   std::string service;
+  // Returns whether the routing table names a service. An announcement of
+  // another service than that and `service` is rejected.
+  std::function<bool(std::string_view)> is_known_service;
 };
 
 // The only process that dispatches calls to its upstream, and therefore the
@@ -48,8 +53,12 @@
              std::function<void(const instance_announcement&, bool)> on_change);
   void Stop();
 
+  // Returns why an announcement names no upstream that this node can use;
+  // std::nullopt if it names one.
+  [[nodiscard]] std::optional<std::string_view> RejectionReason(
+      const instance_announcement& announced) const;
   // Applies an announcement or a withdrawal of the upstream. Ignores one that
-  // is older than the known state.
+  // is older than the known state or names no usable upstream.
   void Announce(const instance_announcement& announced);
   void Withdraw(const instance_withdrawal& withdrawn);
   // Sets the path at which the upstream answers health checks.
@@ -75,6 +84,8 @@
   void UpdateQueuePause(upstream_lifecycle& upstream, time_point now);
   void HealthLoop();
   void CheckHealth(const std::shared_ptr<upstream_lifecycle>& upstream);
+  [[nodiscard]] std::unique_ptr<http_client> MakeHealthClient(
+      const endpoint& address);
   void FindUpstream();
   void AdvanceLoop();
   void ReplaceUpstream(const instance_announcement& announced);
--- a/src/daemon/routed_node_daemon.cc
+++ b/src/daemon/routed_node_daemon.cc
@@ -106,7 +106,13 @@
                 instance_server_options{
                     .answer_limit_bytes = settings.limits.response_body_bytes,
                     .upstream = settings.listen.upstream,
-                    .service = settings.process.service}),
+                    .service = settings.process.service,
+                    .is_known_service =
+                        [this](std::string_view service) {
+                          const auto table = directory_.Table();
+                          return table && table->Table().services.contains(
+                                              std::string(service));
+                        }}),
         ingress_(loop_, clock_, random_, log, self_,
                  settings.process.availability_zone, codec, directory_, server_,
                  MakeIngressOptions(settings, ReadTerms(settings, codec))),
--- a/tests/instance_server_test.cc
+++ b/tests/instance_server_test.cc
@@ -3,6 +3,7 @@
 #include "controllers/instance_server.h"
 
 #include <boost/test/unit_test.hpp>
+#include <set>
 #include <string>
 #include <thread>
 
@@ -35,7 +36,7 @@
   server_fixture(io_loop& io, scripted_upstream::answer_maker script)
       : loop(io),
         upstream(loop, fibers, std::move(script)),
-        server(loop, clock, log, {"n1", 7}, codec, {}) {
+        server(loop, clock, log, {"n1", 7}, codec, {.service = "s"}) {
     server.Start(fibers, [this](const instance_announcement&, bool draining) {
       drained = draining;
     });
@@ -60,20 +61,25 @@
 
   served_call Call(const std::string& instance,
                    duration time_limit = seconds(2)) {
-    inbound_call call{
-        .start = {.id = {.high = 1, .low = ++last_id},
-                  .service = "s",
-                  .method = "POST",
-                  .target = "/a/1",
-                  .headers = {{"X-Request-Id", std::to_string(last_id)}},
-                  .incarnation = 7,
-                  .instance = instance,
-                  .route = "a",
-                  .objective_us = 1'000'000,
-                  .wait_percent = 60,
-                  .no_alternative = true},
-        .ingress = "n2",
-        .deadline = clock.Now() + time_limit};
+    return CallAs(std::to_string(last_id + 1), instance, time_limit);
+  }
+
+  // Sends a call whose caller chose the request id `caller_id`.
+  served_call CallAs(const std::string& caller_id, const std::string& instance,
+                     duration time_limit = seconds(2)) {
+    inbound_call call{.start = {.id = {.high = 1, .low = ++last_id},
+                                .service = "s",
+                                .method = "POST",
+                                .target = "/a/1",
+                                .headers = {{"X-Request-Id", caller_id}},
+                                .incarnation = 7,
+                                .instance = instance,
+                                .route = "a",
+                                .objective_us = 1'000'000,
+                                .wait_percent = 60,
+                                .no_alternative = true},
+                      .ingress = "n2",
+                      .deadline = clock.Now() + time_limit};
     return server.Serve(call);
   }
 
@@ -147,6 +153,55 @@
 
 // After a restart of the node alone the upstream's next announcement may be a
 // second away, so the node finds the upstream by its health check.
+// Guards against an odd announcement of another writer that replaces the
+// upstream, after which the node follows nothing.
+BOOST_AUTO_TEST_CASE(announcement_that_names_no_usable_upstream_is_rejected) {
+  RunWith(Always("200 OK"), [](server_fixture& fixture) {
+    fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
+    const auto odd = [&fixture](auto change) {
+      auto announced = fixture.Announcement("i-odd", 200, 1);
+      change(announced);
+      return announced;
+    };
+    const std::vector<instance_announcement> all = {
+        odd([](auto& each) { each.instance.clear(); }),
+        odd([](auto& each) { each.instance = std::string(1 << 20, 'a'); }),
+        odd([](auto& each) { each.service = "unknown"; }),
+        odd([](auto& each) { each.service = std::string(1 << 20, 'a'); }),
+        odd([](auto& each) { each.address = "127.0.0.1:0"; }),
+        odd([](auto& each) { each.address = "127.0.0.1:70000"; }),
+        odd([](auto& each) { each.address = "127.0.0.1"; }),
+    };
+    for (const instance_announcement& announced : all) {
+      BOOST_TEST(fixture.server.RejectionReason(announced).has_value());
+      fixture.server.Announce(announced);
+    }
+    BOOST_TEST((fixture.Call("i-1").end.call_outcome == outcome::kAnswered));
+    const auto replacement = fixture.Announcement("i-2", 300, 1);
+    BOOST_TEST(!fixture.server.RejectionReason(replacement).has_value());
+    fixture.server.Announce(replacement);
+    BOOST_TEST((fixture.Call("i-2").end.call_outcome == outcome::kAnswered));
+  });
+}
+
+// Guards against an announcement with a start time in the future: the upstream
+// that answers at the address would be taken for an earlier incarnation.
+BOOST_AUTO_TEST_CASE(upstream_that_answers_replaces_one_that_does_not) {
+  const auto script = [](const std::string& head) {
+    return SignedResponse(head, "200 OK",
+                          "X-Response-Signature: s\r\nX-Instance-Id: i-1\r\n");
+  };
+  RunWith(script, [](server_fixture& fixture) {
+    fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
+    fixture.server.Announce(fixture.Announcement("i-odd", 90'000'000, 1));
+    BOOST_TEST((fixture.Call("i-1").end.call_outcome == outcome::kNotRun));
+    // The health check names the instance that answers.
+    io_loop::SleepFor(std::chrono::milliseconds(600));
+    fixture.server.Announce(fixture.Announcement("i-1", 100, 2));
+    BOOST_TEST((fixture.Call("i-1").end.call_outcome == outcome::kAnswered));
+  });
+}
+
 BOOST_AUTO_TEST_CASE(running_upstream_is_found_by_health_check) {
   const auto healthy =
       Always("200 OK", "X-Instance-Id: i-1\r\nX-Instance-Load: 0,0,18,100\r\n");
@@ -197,6 +252,71 @@
       });
 }
 
+// Guards against a refusal that an upstream wrote for an earlier dispatch of
+// the same request and writes once more while it runs the request: "not run"
+// would be false, and the request would run a second time elsewhere.
+BOOST_AUTO_TEST_CASE(repeated_refusal_of_same_request_is_not_believed) {
+  std::set<int> refused_on;
+  int ran = 0;
+  const scripted_upstream* upstream = nullptr;
+  const auto script = [&](const std::string& head) {
+    if (!head.starts_with("POST")) return SignedResponse(head, "200 OK");
+    const std::string refusal =
+        SignedResponse(head, "503 Busy", "X-Not-Executed: 1\r\n");
+    if (refused_on.empty()) {
+      refused_on.insert(upstream->CurrentConnection());
+      return refusal;
+    }
+    ++ran;
+    const bool repeats = refused_on.contains(upstream->CurrentConnection());
+    return repeats ? refusal : SignedResponse(head, "200 OK");
+  };
+  RunWith(script, [&](server_fixture& fixture) {
+    upstream = &fixture.upstream;
+    fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
+    BOOST_TEST(
+        (fixture.CallAs("c", "i-1").end.call_outcome == outcome::kNotRun));
+    const served_call again = fixture.CallAs("c", "i-1");
+    BOOST_TEST(ran == 1);
+    BOOST_TEST((again.end.call_outcome == outcome::kAnswered));
+  });
+}
+
+// Guards against a refusal that arrives once more while another request waits
+// for its answer on the same connection.
+BOOST_AUTO_TEST_CASE(repeated_refusal_of_earlier_request_is_skipped) {
+  std::string earlier;
+  const auto script = [&](const std::string& head) {
+    if (!head.starts_with("POST")) return SignedResponse(head, "200 OK");
+    if (earlier.empty()) {
+      earlier = SignedResponse(head, "503 Busy", "X-Not-Executed: 1\r\n");
+      return earlier;
+    }
+    return earlier + SignedResponse(head, "200 OK");
+  };
+  RunWith(script, [&](server_fixture& fixture) {
+    fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
+    BOOST_TEST((fixture.Call("i-1").end.call_outcome == outcome::kNotRun));
+    BOOST_TEST((fixture.Call("i-1").end.call_outcome == outcome::kAnswered));
+  });
+}
+
+// A refusal that does not echo the request's id proves nothing about it.
+BOOST_AUTO_TEST_CASE(refusal_without_or_with_foreign_id_is_unknown) {
+  for (const std::string id : {"", "X-Request-Id: other\r\n"}) {
+    const auto script = [&](const std::string&) {
+      return "HTTP/1.1 503 Busy\r\n" + id +
+             "X-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n";
+    };
+    RunWith(script, [](server_fixture& fixture) {
+      fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
+      const served_call refused =
+          fixture.Call("i-1", std::chrono::milliseconds(300));
+      BOOST_TEST((refused.end.call_outcome == outcome::kUnknown));
+    });
+  }
+}
+
 BOOST_AUTO_TEST_CASE(server_error_of_upstream_is_returned_as_answer) {
   RunWith(Always("500 Oops"), [](server_fixture& fixture) {
     fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -120,6 +120,60 @@
   }
 }
 
+// Guards against an entry of another writer that ends the process or is
+// accepted with a value that was cut to its field's range.
+BOOST_AUTO_TEST_CASE(odd_announcement_is_rejected_with_400) {
+  const platform_codec_impl codec;
+  const std::string target = "/hornbeamlb/Instances.Heartbeat/i-1";
+  const std::string good =
+      HeartbeatBody(R"({"state":"ready","seq":4,"coldRemainingS":1.5})");
+  constexpr int kLevels = 20'000;
+  std::string lists(kLevels, '[');
+  lists += std::string(kLevels, ']');
+  std::string objects;
+  for (int level = 0; level < kLevels; ++level) objects += R"({"a":)";
+  objects += "1" + std::string(kLevels, '}');
+  std::vector<std::string> bodies = {
+      lists,
+      objects,
+      good.substr(0, good.size() - 1) + ",\"more\":" + lists + "}",
+      good.substr(0, good.size() - 1) + ",\"more\":" + objects + "}",
+      "\xef\xbb\xbf" + good,
+      good.substr(0, good.size() / 2)};
+  for (const std::string number :
+       {"1e400", "-1", "1.5", "18446744073709551616", "1e30", "null", "[]",
+        "\"4\"", "9007199254740993e3"}) {
+    bodies.push_back(HeartbeatBody(R"({"state":"ready","seq":)" + number +
+                                   R"(,"coldRemainingS":1.5})"));
+    std::string started = good;
+    const std::string born = "1700000000000";
+    started.replace(started.find(born), born.size(), number);
+    bodies.push_back(started);
+  }
+  for (const std::string number : {"1e400", "-1", "1e30", "\"4\""}) {
+    bodies.push_back(HeartbeatBody(
+        R"({"state":"ready","seq":4,"coldRemainingS":)" + number + "}"));
+  }
+  for (const std::string& body : bodies) {
+    const auto rejected = codec.ReadNodeRequest(Post(target, body));
+    BOOST_TEST(!rejected.has_value(), body.substr(0, 200));
+    BOOST_TEST(codec.WriteError(rejected.error()).status == 400U);
+  }
+}
+
+// A table that holds a number which JSON cannot represent could not be returned
+// as it was sent.
+BOOST_AUTO_TEST_CASE(odd_routing_change_is_rejected) {
+  const platform_codec_impl codec;
+  const std::string nested(20'000, '[');
+  for (const std::string& more : {std::string("1e400"), nested}) {
+    const auto read = codec.ReadOperatorRequest(Post(
+        "/hornbeamlb/Config.Replace",
+        R"({"version":"r7","routes":{},"services":{},"more":)" + more + "}"));
+    BOOST_TEST(!read.has_value(), more.substr(0, 20));
+  }
+}
+
 BOOST_AUTO_TEST_CASE(deregistration_without_body_is_accepted) {
   const platform_codec_impl codec;
   const auto read =
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -33,6 +33,8 @@
     return acceptor_.local_endpoint().port();
   }
   [[nodiscard]] int Connections() const { return connections_; }
+  // Returns the number of the connection whose head is being answered, from 1.
+  [[nodiscard]] int CurrentConnection() const { return current_connection_; }
   [[nodiscard]] const std::vector<std::string>& Heads() const { return heads_; }
   void Stop() {
     boost::system::error_code ignored;
@@ -52,11 +54,12 @@
       if (error) return;
       ++connections_;
       sockets_.push_back(socket);
-      fibers_.Start([this, socket] { Serve(*socket); });
+      fibers_.Start(
+          [this, socket, number = connections_] { Serve(*socket, number); });
     }
   }
 
-  void Serve(tcp::socket& socket) {
+  void Serve(tcp::socket& socket, int number) {
     std::string buffer;
     while (true) {
       boost::system::error_code error;
@@ -66,6 +69,7 @@
       if (error) return;
       heads_.push_back(buffer.substr(0, size));
       buffer.erase(0, size);
+      current_connection_ = number;
       const std::string answer = answer_(heads_.back());
       if (answer.empty()) {
         socket.close(error);
@@ -81,6 +85,7 @@
   fiber_group& fibers_;
   const answer_maker answer_;
   int connections_ = 0;
+  int current_connection_ = 0;
   std::vector<std::string> heads_;
   std::vector<std::shared_ptr<tcp::socket>> sockets_;
 };
