HTTP server bounds the bodies that it receives at one time

Change: body_memory, shared by client and server: beyond a total (limits.receiving_body_bytes) the bodies above an equal share of it fail, callers with 503; the read buffer is bounded by the header limit. Result: request_without_end_is_rejected_at_its_limit (new).

--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -35,9 +35,6 @@
 // Longer names of instances and services are rejected; they travel in every
 // lease and load report.
 constexpr std::size_t kMaxNameBytes = 256;
-// Limit on the answers that are being received from the upstream, in total. The
-// smallest machine of the known deployments has 160 MB.
-constexpr std::size_t kTotalAnswerBytes = 32UL * 1024 * 1024;
 constexpr std::size_t kHealthAnswerBytes = 64UL * 1024;
 // Minimum time between two updates of the waiting calls.
 constexpr duration kMinAdvanceInterval = std::chrono::milliseconds(2);
@@ -135,9 +132,10 @@
   upstream_->address = *address;
   upstream_->client = http_client::MakeHttpClient(
       loop_, address->host, address->port,
-      http_client_options{.answer_limit_bytes = options_.answer_limit_bytes,
-                          .total_answer_limit_bytes = kTotalAnswerBytes,
-                          .echoed_field = std::string(codec_.EchoedField())},
+      http_client_options{
+          .answer_limit_bytes = options_.answer_limit_bytes,
+          .total_answer_limit_bytes = options_.total_answer_limit_bytes,
+          .echoed_field = std::string(codec_.EchoedField())},
       clock_);
   upstream_->health_client = MakeHealthClient(*address);
   const auto limit =
--- a/src/controllers/instance_server.h
+++ b/src/controllers/instance_server.h
@@ -25,6 +25,8 @@
 
 struct instance_server_options {
   std::size_t answer_limit_bytes = 64UL * 1024 * 1024;
+  // Limit on all answers that are being received from the upstream, in total.
+  std::size_t total_answer_limit_bytes = 64UL * 1024 * 1024;
   // Interval of the upstream's health checks, which also report its load.
   duration health_interval = std::chrono::milliseconds(250);
   duration health_timeout = std::chrono::milliseconds(500);
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -85,6 +85,7 @@
 struct limit_settings {
   std::size_t request_body_bytes = 0;
   std::size_t response_body_bytes = 0;
+  std::size_t receiving_body_bytes = 0;
   std::size_t header_bytes = 0;
   std::size_t caller_connections = 0;
   std::chrono::milliseconds header_timeout{};
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -46,6 +46,7 @@
 http_server_options MakeHttpOptions(const limit_settings& limits) {
   return {.header_limit_bytes = limits.header_bytes,
           .body_limit_bytes = limits.request_body_bytes,
+          .total_body_limit_bytes = limits.receiving_body_bytes,
           .connection_limit = limits.caller_connections,
           .transfer_timeout = limits.header_timeout,
           .idle_timeout = limits.idle_timeout};
--- a/src/daemon/setting_catalogue.cc
+++ b/src/daemon/setting_catalogue.cc
@@ -181,6 +181,14 @@
      [](text, text value, daemon_settings& settings) {
        return StoreNumber(value, settings.limits.response_body_bytes);
      }},
+    {"limits", "receiving_body_bytes", kBytes, kAllRoles, kMebibyte,
+     1024 * kMebibyte, "67108864",
+     "Limit on the request bodies that one listener receives at one time, in "
+     "total; a request above its equal share is rejected with 503. The answers "
+     "that a node receives from its upstream have a limit of the same size.",
+     [](text, text value, daemon_settings& settings) {
+       return StoreNumber(value, settings.limits.receiving_body_bytes);
+     }},
     {"limits", "header_bytes", kBytes, kAllRoles, kKibibyte, kMebibyte, "16384",
      "Maximum size of a request's head: its line and all header fields.",
      [](text, text value, daemon_settings& settings) {
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "http/body_memory.h"
 #include "io/cancel_source.h"
 #include "io/fiber_token.h"
 #include "io/io_loop.h"
@@ -103,7 +104,8 @@
         host_(std::move(host)),
         port_(port),
         options_(std::move(options)),
-        clock_(clock) {}
+        clock_(clock),
+        body_memory_(options_.total_answer_limit_bytes) {}
 
   result<http_response, http_call_error> Call(
       const http_request& request, time_point deadline, cancel_source& cancel,
@@ -193,22 +195,15 @@
   boost::system::error_code ReadAnswer(open_connection& connection,
                                        answer_parser& parser) {
     boost::system::error_code error;
-    std::size_t counted_bytes = 0;
+    body_memory::claim body(body_memory_);
     // Parses the head and the body that arrived with it in one step.
     parser.eager(true);
-    ++receiving_;
     while (!error && !parser.is_done()) {
       http::async_read_some(connection.stream, connection.buffer, parser,
                             FiberWait(error));
-      const std::size_t size = parser.get().body().size();
-      received_bytes_ += size - counted_bytes;
-      counted_bytes = size;
-      const std::size_t total = options_.total_answer_limit_bytes;
-      if (received_bytes_ > total && counted_bytes > total / receiving_)
+      if (!body.Grow(parser.get().body().size()))
         error = http::error::body_limit;
     }
-    --receiving_;
-    received_bytes_ -= counted_bytes;
     return error;
   }
 
@@ -257,9 +252,7 @@
   const http_client_options options_;
   const clock_source& clock_;
   std::vector<std::unique_ptr<open_connection>> idle_;
-  // Answers that are being received, and the bytes of their bodies so far.
-  std::size_t receiving_ = 0;
-  std::size_t received_bytes_ = 0;
+  body_memory body_memory_;
 };
 
 }  // namespace
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -15,6 +15,7 @@
 #include <unordered_set>
 #include <utility>
 
+#include "http/body_memory.h"
 #include "io/cancel_source.h"
 #include "io/fiber_group.h"
 #include "io/fiber_token.h"
@@ -67,6 +68,8 @@
 // Returns the status for a request that could not be read, or std::nullopt if
 // the caller disconnected and needs no answer.
 std::optional<unsigned> ErrorStatus(const boost::system::error_code& error) {
+  if (error == boost::asio::error::no_memory) return 503;
+  if (error == http::error::buffer_overflow) return 400;
   if (error == http::error::body_limit) return 413;
   if (error == http::error::header_limit) return 431;
   if (error == beast::error::timeout) return 408;
@@ -97,11 +100,13 @@
 class http_session : public std::enable_shared_from_this<http_session> {
  public:
   http_session(tcp::socket socket, http_handler& handler,
-               const http_server_options& options, fiber_group& fibers,
-               const clock_source& clock)
+               const http_server_options& options, body_memory& request_memory,
+               fiber_group& fibers, const clock_source& clock)
       : stream_(std::move(socket)),
+        buffer_(kFirstReadBytes + 2 * options.header_limit_bytes),
         handler_(handler),
         options_(options),
+        request_memory_(request_memory),
         fibers_(fibers),
         clock_(clock),
         idle_since_(clock.Now()) {
@@ -158,13 +163,23 @@
     stream_.expires_after(options_.transfer_timeout);
     http::async_read_header(stream_, buffer_, parser, FiberWait(error));
     if (!error && WantsContinue(parser.get())) SendContinue(parser.get());
-    if (!error && !parser.is_done()) {
-      http::async_read(stream_, buffer_, parser, FiberWait(error));
-    }
+    if (!error) error = ReadBody(parser);
     if (error) return RejectRequest(error);
     return Handle(parser.release());
   }
 
+  boost::system::error_code ReadBody(request_parser& parser) {
+    boost::system::error_code error;
+    body_memory::claim body(request_memory_);
+    parser.eager(true);
+    while (!error && !parser.is_done()) {
+      http::async_read_some(stream_, buffer_, parser, FiberWait(error));
+      if (!body.Grow(parser.get().body().size()))
+        error = boost::asio::error::no_memory;
+    }
+    return error;
+  }
+
   bool WaitForRequestSlot() {
     std::unique_lock lock(mutex_);
     changed_.wait(lock, [this] {
@@ -291,6 +306,7 @@
   beast::flat_buffer buffer_;
   http_handler& handler_;
   const http_server_options& options_;
+  body_memory& request_memory_;
   fiber_group& fibers_;
   const clock_source& clock_;
   std::deque<std::shared_ptr<exchange>> exchanges_;
@@ -309,7 +325,10 @@
  public:
   beast_http_server(tcp::acceptor acceptor, const http_server_options& options,
                     const clock_source& clock)
-      : acceptor_(std::move(acceptor)), options_(options), clock_(clock) {}
+      : acceptor_(std::move(acceptor)),
+        options_(options),
+        request_memory_(options.total_body_limit_bytes),
+        clock_(clock) {}
 
   void Start(http_handler& handler, fiber_group& fibers) override {
     fibers_ = &fibers;
@@ -367,7 +386,7 @@
   void StartSession(tcp::socket socket, http_handler& handler,
                     fiber_group& fibers) {
     const auto session = std::make_shared<http_session>(
-        std::move(socket), handler, options_, fibers, clock_);
+        std::move(socket), handler, options_, request_memory_, fibers, clock_);
     sessions_.insert(session.get());
     fibers.Start([this, session] {
       session->Run();
@@ -377,6 +396,7 @@
 
   tcp::acceptor acceptor_;
   const http_server_options options_;
+  body_memory request_memory_;
   const clock_source& clock_;
   fiber_group* fibers_ = nullptr;
   boost::fibers::mutex mutex_;
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -32,6 +32,10 @@
 struct http_server_options {
   std::size_t header_limit_bytes = 16UL * 1024;
   std::size_t body_limit_bytes = 8UL * 1024 * 1024;
+  // Limit on the bodies of all requests that are being received. A request
+  // above its equal share is rejected with 503, so that requests without an end
+  // neither exhaust the memory nor affect others.
+  std::size_t total_body_limit_bytes = 64UL * 1024 * 1024;
   std::size_t connection_limit = 1024;
   // Maximum time to receive a request after its first byte, and to send a
   // response.
--- a/tests/http_exchange_test.cc
+++ b/tests/http_exchange_test.cc
@@ -4,6 +4,7 @@
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <thread>
+#include <utility>
 #include <vector>
 
 #include "base/system_clock_source.h"
@@ -180,6 +181,47 @@
   BOOST_TEST(noticed);
 }
 
+// Guards against callers whose request never ends: in its head, in a chunk
+// header, or in bodies that exceed the memory together.
+BOOST_AUTO_TEST_CASE(request_without_end_is_rejected_at_its_limit) {
+  constexpr std::size_t kMany = 1024UL * 1024;
+  const std::string start = "POST /x HTTP/1.1\r\nHost: h\r\n";
+  const std::string chunked = start + "Transfer-Encoding: chunked\r\n\r\n";
+  const std::vector<std::pair<std::string, std::string>> requests = {
+      {start + "X-Long: " + std::string(kMany, 'a'), "431"},
+      {chunked + "5;" + std::string(kMany, 'a'), "400"},
+      {chunked + "40000\r\n" + std::string(0x40000, 'a'), "503"},
+  };
+  for (const auto& [request, status] : requests) {
+    std::string received;
+    std::string own;
+    RunOnLoop([&](io_loop& loop) {
+      const system_clock_source clock;
+      fiber_group fibers;
+      ordered_handler handler;
+      const auto server = http_server::MakeHttpServer(
+          loop, "127.0.0.1", 0, {.total_body_limit_bytes = 128UL * 1024},
+          clock);
+      server->Start(handler, fibers);
+      tcp::socket endless(loop.context());
+      tcp::socket small(loop.context());
+      const tcp::endpoint address(boost::asio::ip::address_v4::loopback(),
+                                  server->Port());
+      boost::system::error_code error;
+      endless.async_connect(address, FiberWait(error));
+      small.async_connect(address, FiberWait(error));
+      received = SendAndRead(endless, request, "\r\n\r\n");
+      own = SendAndRead(small, start + "Content-Length: 2\r\n\r\nok", "/x");
+      endless.close(error);
+      small.close(error);
+      server->Drain();
+      fibers.WaitEmpty(TestDeadline());
+    });
+    BOOST_TEST(received.starts_with("HTTP/1.1 " + status), received);
+    BOOST_TEST(own.find("/x") != std::string::npos);
+  }
+}
+
 // Guards against a late answer to an earlier request of the same connection
 // that is returned as the answer to the current request.
 BOOST_AUTO_TEST_CASE(answer_to_earlier_request_is_skipped) {
