A node drains for as long as the platform lets it run

Cause: the drain ended after a configured 5.6 s whatever the platform's grace time was. At 10 s of grace, calls of up to 8 s were cut off at 5.6 s; at 6 s the three waits for fibers after it could add 0.6 s and pass the end of the grace. Change: the codec reads the grace time from the platform's terms; the drain ends half a second before it, and the fibers share one wait. Result: known_terms_are_decoded_and_others_ignored, and the process tests of planned stops.

--- a/include/hornbeam/platform_codec.h
+++ b/include/hornbeam/platform_codec.h
@@ -28,6 +28,8 @@
   // sets no limit.
   std::optional<double> retry_share;
   std::optional<std::uint32_t> retry_slack;
+  // Time from a stop signal until the platform ends the process by force.
+  std::optional<duration> stop_grace;
 };
 
 // ---- Callers and upstreams ----
--- a/src/daemon/routed_node_daemon.cc
+++ b/src/daemon/routed_node_daemon.cc
@@ -33,6 +33,9 @@
 constexpr int kExitIncomplete = 4;
 constexpr duration kDrainPollInterval = std::chrono::milliseconds(20);
 constexpr duration kFiberStopTimeout = std::chrono::milliseconds(200);
+// Part of the platform's grace time in which the process itself ends, after its
+// calls have completed or the drain was given up.
+constexpr duration kExitReserve = std::chrono::milliseconds(500);
 // The platform checks readiness once a second and directs callers to other
 // nodes after two failed checks; until then callers still arrive.
 constexpr duration kUnreadyDetectionDelay = std::chrono::milliseconds(2600);
@@ -65,6 +68,7 @@
 http_server_options MakeHttpOptions(const limit_settings& limits) {
   return {.header_limit_bytes = limits.header_bytes,
           .body_limit_bytes = limits.request_body_bytes,
+          .total_body_limit_bytes = limits.receiving_body_bytes,
           .connection_limit = limits.caller_connections,
           .transfer_timeout = limits.header_timeout,
           .idle_timeout = limits.idle_timeout};
@@ -105,6 +109,8 @@
         server_(loop_, clock_, log, self_, codec,
                 instance_server_options{
                     .answer_limit_bytes = settings.limits.response_body_bytes,
+                    .total_answer_limit_bytes =
+                        settings.limits.receiving_body_bytes,
                     .upstream = settings.listen.upstream,
                     .service = settings.process.service,
                     .is_known_service =
@@ -113,9 +119,10 @@
                           return table && table->Table().services.contains(
                                               std::string(service));
                         }}),
+        terms_(ReadTerms(settings, codec)),
         ingress_(loop_, clock_, random_, log, self_,
                  settings.process.availability_zone, codec, directory_, server_,
-                 MakeIngressOptions(settings, ReadTerms(settings, codec))),
+                 MakeIngressOptions(settings, terms_)),
         calls_(clock_, self_, server_, call_fibers_,
                call_server_options{
                    .body_limit_bytes = settings.limits.request_body_bytes,
@@ -154,10 +161,12 @@
       return {};
     }
     const platform_terms& terms = read.value();
-    log_.Write(event_id::kPlatformTermsRead,
-               {{"taken", true},
-                {"repeat_share", terms.retry_share.value_or(0)},
-                {"repeat_slack", terms.retry_slack.value_or(0)}});
+    log_.Write(
+        event_id::kPlatformTermsRead,
+        {{"taken", true},
+         {"repeat_share", terms.retry_share.value_or(0)},
+         {"repeat_slack", terms.retry_slack.value_or(0)},
+         {"grace_ms", terms.stop_grace.value_or(duration(0)).count() / 1000}});
     return terms;
   }
 
@@ -247,7 +256,7 @@
   // complete. Returns the exit code.
   int Drain() {
     log_.Write(event_id::kProcessDraining, {{"node", settings_.process.name}});
-    const time_point limit = clock_.Now() + settings_.limits.drain_timeout;
+    const time_point limit = clock_.Now() + DrainTimeout();
     stopping_ = true;
     directory_.BeginDrain();
     server_.BeginDrain();
@@ -260,10 +269,10 @@
     directory_.EndLease();
     ingress_.LogCounts();
     StopAll();
-    const bool fibers_stopped =
-        fibers_.WaitEmpty(clock_.Now() + kFiberStopTimeout) &&
-        call_fibers_.WaitEmpty(clock_.Now() + kFiberStopTimeout) &&
-        caller_fibers_.WaitEmpty(clock_.Now() + kFiberStopTimeout);
+    const time_point stop_limit = clock_.Now() + kFiberStopTimeout;
+    const bool fibers_stopped = fibers_.WaitEmpty(stop_limit) &&
+                                call_fibers_.WaitEmpty(stop_limit) &&
+                                caller_fibers_.WaitEmpty(stop_limit);
     log_.Write(event_id::kProcessStopped,
                {{"node", settings_.process.name}, {"whole", all_completed}});
     // Fibers that still run refer to this object.
@@ -271,6 +280,12 @@
     return all_completed ? 0 : kExitIncomplete;
   }
 
+  // Calls may complete for as long as the platform lets the process run.
+  [[nodiscard]] duration DrainTimeout() const {
+    if (!terms_.stop_grace) return settings_.limits.drain_timeout;
+    return std::max(*terms_.stop_grace - kExitReserve, duration(0));
+  }
+
   template <class Condition>
   bool WaitWhile(time_point limit, Condition condition) {
     while (condition()) {
@@ -308,6 +323,7 @@
   fleet_directory directory_;
   std::unique_ptr<control_client> control_;
   instance_server server_;
+  const platform_terms terms_;
   routed_ingress ingress_;
   call_server calls_;
   instance_handler handler_;
--- a/tests/platform_codec_test.cc
+++ b/tests/platform_codec_test.cc
@@ -241,10 +241,12 @@
   const platform_codec_impl codec;
   const auto terms = codec.ReadTerms(
       "seedLagS=3,lossSlackS=0.2,retryBudgetRatio=0.25,strict=true,"
-      "budgetSlack=58,probesPerS=60");
+      "budgetSlack=58,graceS=6.5,probesPerS=60");
   BOOST_REQUIRE(terms.has_value());
   BOOST_TEST(terms.value().retry_share.value() == 0.25);
   BOOST_TEST(terms.value().retry_slack.value() == 58U);
+  BOOST_TEST(
+      (terms.value().stop_grace.value() == std::chrono::milliseconds(6500)));
   const auto none = codec.ReadTerms("");
   BOOST_REQUIRE(none.has_value());
   BOOST_TEST(!none.value().retry_share);
@@ -256,7 +258,8 @@
   for (const std::string text :
        {"retryBudgetRatio=-0.1", "retryBudgetRatio=nan", "retryBudgetRatio=11",
         "retryBudgetRatio=", "budgetSlack=-1", "budgetSlack=1.5",
-        "budgetSlack=true", "retryBudgetRatio=0.2,budgetSlack"}) {
+        "budgetSlack=true", "retryBudgetRatio=0.2,budgetSlack", "graceS=-1",
+        "graceS=nan", "graceS=1e9", "graceS="}) {
     const auto terms = codec.ReadTerms(text);
     BOOST_REQUIRE(!terms.has_value());
     BOOST_TEST(!terms.error().reason.empty());
