A follower takes new entries of a message that begins before its commit index

Cause: a leader that receives no reply sends all entries again from the last acknowledged one. A follower that has committed the first of them answered with its commit index and ignored the rest. A control VM cut off in one direction heard its leader for 1.5 s that way without a new entry, and the nodes that it serves kept an old routing table. Change: committed entries are skipped, those after them are taken.

--- a/src/replication/replica_core.cc
+++ b/src/replication/replica_core.cc
@@ -225,14 +225,14 @@
     return;
   }
   if (!AreConsecutive(body.previous, body.entries)) return;
-  if (body.previous.index < commit_index_) {
-    // Committed entries are the same in the log of every later leader.
-    reply.accepted = true;
-    reply.index = commit_index_;
-  } else if (log_.Contains(body.previous)) {
+  // Committed entries are the same in the log of every later leader, so a
+  // previous entry that is committed matches. The entries after it may still be
+  // new: a leader that receives no replies sends them again from the start.
+  if (body.previous.index <= commit_index_ || log_.Contains(body.previous)) {
     AppendEntries(body);
     reply.accepted = true;
-    reply.index = body.previous.index + body.entries.size();
+    reply.index =
+        std::max(commit_index_, body.previous.index + body.entries.size());
     AdvanceFollowerCommit(std::min(body.commit_index, reply.index));
   } else {
     std::uint64_t hint = std::min(log_.LastIndex(), body.previous.index - 1);
@@ -247,6 +247,7 @@
 
 void replica_core::AppendEntries(const append_request& body) {
   for (const log_entry& entry : body.entries) {
+    if (entry.index <= commit_index_) continue;
     if (log_.Contains({.term = entry.term, .index = entry.index})) continue;
     if (entry.index <= log_.LastIndex()) {
       assert(entry.index > commit_index_);
