A caller whose request an upstream refused returns at once

Load pattern: all upstreams of a service refuse two in five requests while their slots are free; the budget for repeated dispatches is spent within a second, and callers are told to return. Cause: Retry-After was at least 40 ms, so that the load could change. A refusal by the upstream has nothing to do with the load, and a caller with an objective of 500 ms lost a tenth of it with each return. Change: at least 5 ms after such a refusal; a backlog still counts.

--- a/src/controllers/routed_ingress.cc
+++ b/src/controllers/routed_ingress.cc
@@ -188,14 +188,13 @@
   while (!call.caller_disconnected.IsCancelled()) {
     if (clock_.Now() >= call.deadline) {
       return call.possibly_ran > 0
-                 ? Fail(call, failure_kind::kDeadlineExceeded,
-                        ReasonText(last_reason))
-                 : Fail(call, failure_kind::kRejected, ReasonText(last_reason));
+                 ? Fail(call, failure_kind::kDeadlineExceeded, last_reason)
+                 : Fail(call, failure_kind::kRejected, last_reason);
     }
     const auto choice = ChooseUpstream(call);
     if (!choice) {
       if (WaitForUpstream(call)) continue;
-      return Fail(call, failure_kind::kRejected, ReasonText(last_reason));
+      return Fail(call, failure_kind::kRejected, last_reason);
     }
     call_result reply = Dispatch(call, *choice);
     RecordResult(call, *choice, reply);
@@ -231,7 +230,7 @@
     if (reply.end.call_outcome == outcome::kNotRun &&
         IsRejection(last_reason)) {
       if (choice->no_alternative) {
-        return Fail(call, failure_kind::kRejected, ReasonText(last_reason));
+        return Fail(call, failure_kind::kRejected, last_reason);
       }
       call.rejected_by.push_back(choice->upstream);
       continue;
@@ -240,19 +239,19 @@
     if (!MayRetry(call, reply)) {
       if (reply.end.call_outcome == outcome::kNotRun &&
           call.possibly_ran == 0) {
-        return Fail(call, failure_kind::kRejected, ReasonText(last_reason));
+        return Fail(call, failure_kind::kRejected, last_reason);
       }
       return Fail(call,
                   last_reason == end_reason::kDeadlinePassed
                       ? failure_kind::kDeadlineExceeded
                       : failure_kind::kUnknown,
-                  ReasonText(last_reason));
+                  last_reason);
     }
   }
   return Fail(
       call,
       call.possibly_ran > 0 ? failure_kind::kUnknown : failure_kind::kRejected,
-      "the caller went away");
+      end_reason::kCancelled);
 }
 
 // Waits for the routing table until `deadline`; returns null when none arrives.
@@ -281,13 +280,14 @@
 }
 
 http_response routed_ingress::Fail(const routed_call& call, failure_kind kind,
-                                   std::string_view reason) {
+                                   end_reason reason) {
   const time_point now = clock_.Now();
   ++counts_[call.route_name].others;
-  call_failure failure{.kind = kind, .reason = reason};
+  call_failure failure{.kind = kind, .reason = ReasonText(reason)};
   if (kind == failure_kind::kRejected) {
     failure.retry_after = RetryAfter(MinWait(call), call.deadline - now,
-                                     random_, options_.retry_pacing);
+                                     random_, options_.retry_pacing,
+                                     reason == end_reason::kRejectedByUpstream);
   }
   log_.Write(
       event_id::kRequestEnded,
@@ -296,7 +296,7 @@
        {"outcome", kind == failure_kind::kRejected           ? "rejected"
                    : kind == failure_kind::kDeadlineExceeded ? "too late"
                                                              : "unknown"},
-       {"reason", reason},
+       {"reason", failure.reason},
        {"tried", call.tried.size()},
        {"refused", call.rejected_by.size()},
        {"left_ms", (call.deadline - now).count() / 1000},
--- a/src/controllers/routed_ingress.h
+++ b/src/controllers/routed_ingress.h
@@ -84,7 +84,7 @@
   std::shared_ptr<const routing_snapshot> WaitForTable(time_point deadline);
   bool WaitForUpstream(routed_call& call);
   http_response Fail(const routed_call& call, failure_kind kind,
-                     std::string_view reason);
+                     end_reason reason);
   http_response Run(routed_call& call);
   std::optional<attempt_choice> ChooseUpstream(const routed_call& call);
   call_result Dispatch(const routed_call& call, const attempt_choice& choice);
--- a/src/policy/retry_after.h
+++ b/src/policy/retry_after.h
@@ -15,6 +15,10 @@
 struct retry_after_options {
   // Minimum delay, so that the load has changed by the time of the retry.
   duration min_delay = std::chrono::milliseconds(40);
+  // The same for a caller whose request an upstream refused although it had
+  // room: nothing has to change before the next try, and each ms is lost from
+  // the caller's objective.
+  duration refused_delay = std::chrono::milliseconds(5);
   // Jitter in both directions, as a share of the delay.
   double jitter = 0.5;
 };
@@ -23,7 +27,9 @@
 // shortest expected wait among the upstreams. `time_left` is the time until
 // the caller's deadline; callers spend at most a third of it on waiting, but
 // always at least the minimum delay.
+// `refused` tells that an upstream refused the request rather than that it had
+// to wait for too long.
 duration RetryAfter(duration backlog, duration time_left, random_source& random,
-                    const retry_after_options& options);
+                    const retry_after_options& options, bool refused = false);
 
 }  // namespace hornbeam
--- a/tests/zone_aware_selection_test.cc
+++ b/tests/zone_aware_selection_test.cc
@@ -133,6 +133,21 @@
   BOOST_TEST(intervals.size() >= 12U);
 }
 
+// Load pattern: all upstreams of a service refuse two in five requests at
+// random. A caller that returns at once is served within its objective.
+BOOST_AUTO_TEST_CASE(refused_caller_returns_at_once) {
+  seeded_random_source random(3);
+  for (int caller = 0; caller < 50; ++caller) {
+    const duration refused =
+        RetryAfter(duration(0), milliseconds(1400), random, {}, true);
+    BOOST_TEST((refused >= milliseconds(5)));
+    BOOST_TEST((refused <= milliseconds(10)));
+    // Behind a backlog a refusal changes nothing.
+    BOOST_TEST((RetryAfter(milliseconds(200), milliseconds(1400), random, {},
+                           true) >= milliseconds(100)));
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hornbeam
