An observed speed of an upstream holds for 3 ms instead of 10

Load pattern: slowdowns of 150 ms, several times a second; a call that starts in one takes five times as long to its end, beyond its time limit. Cause: within 10 ms of an observation calls were dispatched without a look, so that one in a hundred started in a slowdown that had just begun.

--- a/src/policy/slowdown_detector.h
+++ b/src/policy/slowdown_detector.h
@@ -19,7 +19,7 @@
   std::uint32_t slow_percent = 200;
   // Time for which an observation describes the current speed: slowdowns begin
   // and end several times a second.
-  duration freshness = std::chrono::milliseconds(10);
+  duration freshness = std::chrono::milliseconds(3);
   // A slowdown that lasts longer is not transient but the upstream's new speed;
   // work is no longer deferred.
   duration max_slowdown = std::chrono::milliseconds(1200);
