--- a/tests/http_exchange_test.cc
+++ b/tests/http_exchange_test.cc
@@ -273,7 +273,7 @@
 // caller closes the connection: the call must end at a limit, not at its
 // deadline, and the node must not buffer all of them.
 BOOST_AUTO_TEST_CASE(answer_without_end_fails_at_its_limit) {
-  constexpr std::size_t kMany = 1024 * 1024;
+  constexpr std::size_t kMany = 1024UL * 1024;
   const auto repeated = [](const std::string& text) {
     std::string all;
     while (all.size() < kMany) all += text;
--- a/tests/instance_server_test.cc
+++ b/tests/instance_server_test.cc
@@ -261,7 +261,7 @@
   const scripted_upstream* upstream = nullptr;
   const auto script = [&](const std::string& head) {
     if (!head.starts_with("POST")) return SignedResponse(head, "200 OK");
-    const std::string refusal =
+    std::string refusal =
         SignedResponse(head, "503 Busy", "X-Not-Executed: 1\r\n");
     if (refused_on.empty()) {
       refused_on.insert(upstream->CurrentConnection());
