--- a/src/policy/zone_aware_selection.cc
+++ b/src/policy/zone_aware_selection.cc
@@ -146,7 +146,7 @@
 
 std::optional<std::size_t> SelectZoneAware(
     std::span<const zone_candidate> candidates, duration objective_left,
-    double bytes, std::uint64_t tie, const zone_selection_options& options) {
+    double bytes, std::uint64_t random, const zone_selection_options& options) {
   if (candidates.empty()) return std::nullopt;
   const auto fails = [&](const zone_candidate& each) {
     return each.reported && each.report_age < options.report_lifetime &&
@@ -190,7 +190,7 @@
   std::erase_if(pool, [limit](const scored_candidate& each) {
     return each.cost > limit;
   });
-  return LessOccupiedOfTwo(pool, candidates, tie);
+  return LessOccupiedOfTwo(pool, candidates, random);
 }
 
 }  // namespace hornbeam
--- a/src/policy/zone_aware_selection.h
+++ b/src/policy/zone_aware_selection.h
@@ -4,7 +4,9 @@
 // Load pattern: zones get uneven shares of the callers, every load report is
 // stale when it arrives, and an upstream slows down for a fraction of a second
 // without warning. Traffic between zones is costly, so a call leaves its zone
-// only when waiting within the zone would make it miss its objective.
+// only when waiting within the zone would make it miss its objective. In a
+// fleet of hundreds of nodes most reports are older than their lifetime, and
+// some upstreams have none.
 #pragma once
 
 #include <cstddef>
@@ -72,9 +74,11 @@
 
 // Returns the index of the chosen candidate; std::nullopt without candidates.
 // `objective_left` may be negative. `bytes` is the size of request and answer.
-// `tie` breaks ties, so that the nodes do not all choose the same upstream.
+// `random` draws two of the candidates that cost about the same; the less
+// occupied one is chosen, so that nodes with the same reports do not all choose
+// the same upstream.
 std::optional<std::size_t> SelectZoneAware(
     std::span<const zone_candidate> candidates, duration objective_left,
-    double bytes, std::uint64_t tie, const zone_selection_options& options);
+    double bytes, std::uint64_t random, const zone_selection_options& options);
 
 }  // namespace hornbeam
