--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -193,6 +193,14 @@
   });
 }
 
+time_point control_service::CurrentAsOf() const {
+  time_point oldest = time_point::max();
+  for (const replica_host* store : stores_.All()) {
+    oldest = std::min(oldest, store->Status().current_as_of);
+  }
+  return oldest;
+}
+
 void control_service::TickLoop() {
   while (!stopped_) {
     const time_point now = clock_.Now();
@@ -226,7 +234,10 @@
   const bool was_isolated = isolated_;
   isolated_ = now - leaders_known_at_ >= options_.isolation_limit;
   if (isolated_ != was_isolated) {
-    log_.Write(event_id::kControlIsolated, {{"isolated", isolated_}});
+    log_.Write(event_id::kControlIsolated,
+               {{"isolated", isolated_},
+                {"age_ms", (now - CurrentAsOf()).count() / 1000},
+                {"version", routing_feed_.Version()}});
     if (isolated_) DisconnectRoutingWatchers();
   }
   if (!was_suspended && (isolated_ || !was_isolated)) return;
--- a/src/controllers/control_service.h
+++ b/src/controllers/control_service.h
@@ -72,6 +72,9 @@
 
  private:
   [[nodiscard]] bool KnowsLeaders() const;
+  // Returns the time before which everything acknowledged is known here, in
+  // each store.
+  [[nodiscard]] time_point CurrentAsOf() const;
   class session;
 
   void HandleLease(frame_connection& connection, const lease_renewal& renewal);
--- a/src/controllers/replica_host_impl.cc
+++ b/src/controllers/replica_host_impl.cc
@@ -265,6 +265,7 @@
                         .commit_index = core_.CommitIndex(),
                         .applied_index = applied_index_,
                         .snapshot_index = snapshot_index_,
+                        .current_as_of = core_.CurrentAsOf(),
                         .storage_fault = storage_fault_,
                         .replicas = {}};
   if (!storage_fault_.empty()) {
--- a/src/controllers/replica_status.h
+++ b/src/controllers/replica_status.h
@@ -5,6 +5,7 @@
 #include <string>
 #include <vector>
 
+#include "hornbeam/clock_source.h"
 #include "replication/replica_role.h"
 
 namespace hornbeam {
@@ -28,6 +29,8 @@
   std::uint64_t commit_index = 0;
   std::uint64_t applied_index = 0;
   std::uint64_t snapshot_index = 0;
+  // All that was acknowledged before this time is applied here.
+  time_point current_as_of;
   std::string storage_fault;  // Empty while the disk works.
   std::vector<replica_peer_status> replicas;
 };
--- a/src/replication/replica_core.cc
+++ b/src/replication/replica_core.cc
@@ -60,6 +60,10 @@
   return hard_state_.formation ? hard_state_.formation->cluster_id : 0;
 }
 
+time_point replica_core::CurrentAsOf() const {
+  return leader_ ? now_ : leader_heard_at_;
+}
+
 bool replica_core::IsVoter() const { return log_.Membership().IsVoter(self_); }
 
 void replica_core::OnTick(time_point now) {
--- a/src/replication/replica_core.h
+++ b/src/replication/replica_core.h
@@ -110,6 +110,9 @@
     return leader_;
   }
   [[nodiscard]] std::uint64_t CommitIndex() const { return commit_index_; }
+  // Returns a time, on this replica's clock, such that this replica has
+  // committed every entry that was acknowledged before it.
+  [[nodiscard]] time_point CurrentAsOf() const;
   [[nodiscard]] const replica_log& Log() const { return log_; }
   // Returns the highest index known to be on the disk of `id`; 0 if this
   // replica is not the leader or does not replicate to `id`.
--- a/tests/http_exchange_test.cc
+++ b/tests/http_exchange_test.cc
@@ -57,6 +57,20 @@
   fiber_signal<bool> quick_done_;
 };
 
+// Counts the requests and answers each with its path, /slow not before `open`.
+class counting_handler final : public http_handler {
+ public:
+  http_response Handle(const http_request& request,
+                       cancel_source& /*caller_disconnected*/) override {
+    ++handled;
+    if (request.target == "/slow") open.WaitUntil(TestDeadline());
+    return MakeTextResponse(200, request.target);
+  }
+
+  int handled = 0;
+  fiber_signal<bool> open;
+};
+
 // Sends `bytes` and reads until the received bytes contain `wanted`.
 std::string SendAndRead(tcp::socket& socket, const std::string& bytes,
                         const std::string& wanted) {
@@ -84,15 +98,19 @@
   int connections = 0;
 };
 
+enum class connection_end : std::uint8_t { kByClient, kAfterAnswer };
+
 // Sends `calls` requests one after another to an upstream that answers as
 // `script` says.
 client_run CallSequentially(const scripted_upstream::answer_maker& script,
-                            int calls) {
+                            int calls,
+                            connection_end end = connection_end::kByClient) {
   client_run run;
   RunOnLoop([&](io_loop& loop) {
     const system_clock_source clock;
     fiber_group fibers;
     scripted_upstream upstream(loop, fibers, script);
+    if (end == connection_end::kAfterAnswer) upstream.CloseAfterAnswers();
     const auto client = http_client::MakeHttpClient(
         loop, "127.0.0.1", upstream.Port(),
         http_client_options{.echoed_field = "X-Id"}, clock);
@@ -153,6 +171,45 @@
 
 // Guards against a server that stops reading while a request runs: it would not
 // see that the caller closed the connection.
+// Guards against a caller that keeps sending during a planned stop: a server
+// that takes the requests behind a running one never sends its last answer, and
+// cuts the connection at the end of the stop.
+BOOST_AUTO_TEST_CASE(request_behind_a_running_one_is_not_taken_during_drain) {
+  int handled = 0;
+  std::string received;
+  RunOnLoop([&](io_loop& loop) {
+    const system_clock_source clock;
+    fiber_group fibers;
+    counting_handler handler;
+    const auto server =
+        http_server::MakeHttpServer(loop, "127.0.0.1", 0, {}, clock);
+    server->Start(handler, fibers);
+    tcp::socket socket(loop.context());
+    boost::system::error_code error;
+    socket.async_connect(
+        {boost::asio::ip::address_v4::loopback(), server->Port()},
+        FiberWait(error));
+    const auto send = [&](const std::string& text) {
+      boost::asio::async_write(socket, boost::asio::buffer(text),
+                               FiberWait(error));
+    };
+    send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (handler.handled == 0) io_loop::SleepFor(milliseconds(5));
+    server->Drain();
+    send("POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    io_loop::SleepFor(milliseconds(100));
+    handler.open.Set(true);
+    received = SendAndRead(socket, "", "never");
+    handled = handler.handled;
+    socket.close(error);
+    fibers.WaitEmpty(TestDeadline());
+  });
+  BOOST_TEST(handled == 1);
+  BOOST_TEST(received.find("/slow") != std::string::npos);
+  BOOST_TEST(received.find("/late") == std::string::npos);
+  BOOST_TEST(received.find("Connection: close") != std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(disconnected_caller_is_detected_while_its_request_runs) {
   bool noticed = false;
   RunOnLoop([&](io_loop& loop) {
@@ -269,6 +326,27 @@
   BOOST_TEST(run.bodies.back() == "x");
 }
 
+// Guards against an answer that ends early and is passed on as a whole one with
+// an empty or short body.
+BOOST_AUTO_TEST_CASE(answer_cut_at_any_byte_is_not_taken_for_a_whole_one) {
+  const std::string head = "HTTP/1.1 200 OK\r\nX-Id: 0\r\nX-More: a, b\r\n";
+  const std::vector<std::string> answers = {
+      head + "Content-Length: 5\r\n\r\nwhole",
+      head + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n\r\n",
+      // The body ends with the connection, so only its head can be incomplete.
+      head + "\r\n",
+  };
+  for (const std::string& answer : answers) {
+    for (std::size_t size = 1; size < answer.size(); ++size) {
+      const client_run run = CallSequentially(
+          [&](const std::string&) { return answer.substr(0, size); }, 1,
+          connection_end::kAfterAnswer);
+      BOOST_TEST(run.bodies.front() == ErrorText(http_call_error::kLost),
+                 size << " bytes of " << answer);
+    }
+  }
+}
+
 // Guards against an upstream that sends bytes that are no answer until the
 // caller closes the connection: the call must end at a limit, not at its
 // deadline, and the node must not buffer all of them.
--- a/tests/replica_host_test.cc
+++ b/tests/replica_host_test.cc
@@ -2,6 +2,7 @@
 #include "controllers/replica_host.h"
 
 #include <algorithm>
+#include <atomic>
 #include <boost/test/unit_test.hpp>
 #include <chrono>
 #include <deque>
@@ -220,8 +221,13 @@
     Restart(name);
   }
   void Restart(const std::string& name) {
-    group_.Start(name, std::make_unique<memory_log_storage>(disks_.at(name)));
+    const auto& full =
+        full_.try_emplace(name, std::make_shared<std::atomic<bool>>(false))
+            .first->second;
+    group_.Start(name,
+                 std::make_unique<memory_log_storage>(disks_.at(name), full));
   }
+  void SetFull(const std::string& name, bool full) { *full_.at(name) = full; }
   std::string OtherReplica(const std::string& name) {
     return name == "a" ? "b" : "a";
   }
@@ -244,6 +250,7 @@
 
  private:
   std::map<std::string, memory_disk> disks_;
+  std::map<std::string, std::shared_ptr<std::atomic<bool>>> full_;
   std::uint64_t last_incarnation_ = 0;
   // Declared last, so that the hosts are destroyed before the disks they use.
   host_group group_{{"a", "b", "c"}};
@@ -281,6 +288,41 @@
   BOOST_TEST(group.Query(group.Leader()).value() == expected);
 }
 
+// Guards against a replica that takes no part any more once its disk was full:
+// after the second full disk no change was acknowledged, with room on all.
+BOOST_AUTO_TEST_CASE(replicas_take_part_again_after_their_disks_were_full) {
+  three_replicas three;
+  host_group& group = three.Group();
+  std::vector<std::string> acknowledged;
+  int proposed = 0;
+  const auto propose = [&](int count) {
+    for (int i = 0; i < count;) {
+      const std::string command = "x" + std::to_string(++proposed) + ",";
+      if (!group.Propose(group.Leader(), command)) continue;
+      acknowledged.push_back(command);
+      ++i;
+    }
+  };
+  propose(5);
+  for (int round = 0; round < 2; ++round) {
+    for (const std::string& name : group.Names()) {
+      three.SetFull(name, true);
+      propose(5);
+      group.RunUntil(
+          [&] { return !group.Host(name).Status().storage_fault.empty(); });
+      propose(5);
+      three.SetFull(name, false);
+      group.RunUntil(
+          [&] { return group.Host(name).Status().storage_fault.empty(); });
+    }
+  }
+  propose(5);
+  const std::string state = group.Query(group.Leader()).value();
+  for (const std::string& command : acknowledged) {
+    BOOST_TEST(state.find(command) != std::string::npos);
+  }
+}
+
 // Replicas with empty disks must not form a new cluster while a configured
 // replica is missing, because that replica may hold committed entries.
 BOOST_AUTO_TEST_CASE(empty_disks_do_not_form_cluster_without_missing_replica) {
--- a/tests/support/memory_log_storage.h
+++ b/tests/support/memory_log_storage.h
@@ -1,9 +1,11 @@
 // In-memory log storage for tests.
 #pragma once
 
+#include <atomic>
 #include <cstddef>
 #include <cstdint>
 #include <cstdlib>
+#include <memory>
 #include <optional>
 #include <utility>
 
@@ -53,6 +55,11 @@
  public:
   explicit memory_log_storage(memory_disk& disk) : disk_(disk) {}
 
+  // Writes fail while `full` is true, which any thread may change.
+  memory_log_storage(memory_disk& disk,
+                     std::shared_ptr<const std::atomic<bool>> full)
+      : disk_(disk), full_(std::move(full)) {}
+
   void FailWith(storage_error error) { failure_ = std::move(error); }
 
   result<recovered_state, storage_error> Load() override {
@@ -60,12 +67,17 @@
   }
   result<void, storage_error> Write(const storage_batch& batch) override {
     if (failure_) return *failure_;
+    if (full_ && *full_) {
+      return storage_error{.kind = storage_error_kind::kFull,
+                           .detail = "disk full"};
+    }
     disk_.Write(batch);
     return success();
   }
 
  private:
   memory_disk& disk_;
+  const std::shared_ptr<const std::atomic<bool>> full_;
   std::optional<storage_error> failure_;
 };
 
--- a/tests/support/scripted_upstream.h
+++ b/tests/support/scripted_upstream.h
@@ -36,6 +36,8 @@
   // Returns the number of the connection whose head is being answered, from 1.
   [[nodiscard]] int CurrentConnection() const { return current_connection_; }
   [[nodiscard]] const std::vector<std::string>& Heads() const { return heads_; }
+  // Closes each connection after its next answer.
+  void CloseAfterAnswers() { closes_after_answers_ = true; }
   void Stop() {
     boost::system::error_code ignored;
     acceptor_.close(ignored);
@@ -78,12 +80,17 @@
       boost::asio::async_write(socket, boost::asio::buffer(answer),
                                FiberWait(error));
       if (error) return;
+      if (closes_after_answers_) {
+        socket.close(error);
+        return;
+      }
     }
   }
 
   tcp::acceptor acceptor_;
   fiber_group& fibers_;
   const answer_maker answer_;
+  bool closes_after_answers_ = false;
   int connections_ = 0;
   int current_connection_ = 0;
   std::vector<std::string> heads_;
