A control VM serves nodes only while its stores are proved current

Cause: a known leader was taken for a current table. A replica that does not hear its leader forgets it only after one to two election timeouts (700 to 1,400 ms), isolation_limit_ms (600) was counted from there, and a replica that is heard by nobody keeps its leader for as long as it hears it.

Fix: a replica's replies carry its clock; the leader returns it with its commit index once a quorum has replied to a later round. A control VM whose proof is older than isolation_limit_ms (900) gives up its nodes. The timers' sum is checked at start against control.staleness_limit_ms (2,000 on the platform).

A node that chooses an isolated control VM is kept for 300 ms, since all are isolated for a moment after the loss of a leader. Memberships are pushed once more after an isolation; nodes that had connected in it were told of no removals.

Control VMs of the build before and of this one do not understand each other's log messages.

Found in the same places: the settings and ledger stores use the same check; leases are not granted by a control VM that is not current.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -44,8 +44,9 @@
     {event_id::kMembershipChanged, "membership_changed", kInfo,
      "The known upstreams of a service changed."},
     {event_id::kControlIsolated, "control_isolated", kWarning,
-     "This control VM lost the leader of a store or found it again; while "
-     "isolated it expires no leases and is no node's registrar."},
+     "This control VM can no longer prove that its stores are current, or can "
+     "again; while isolated it expires no leases and is no node's registrar. "
+     "age_ms is the age of the proof, -1 if there was none since the start."},
     {event_id::kAnnouncementRejected, "announcement_refused", kWarning,
      "An announcement could not be decoded or is not for an upstream of this "
      "node."},
--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -3,6 +3,7 @@
 #include <algorithm>
 #include <iterator>
 #include <map>
+#include <optional>
 #include <utility>
 
 #include "base/event_log.h"
@@ -24,12 +25,16 @@
 // Limit on the watched services of a session, which bounds its memory. A watch
 // beyond the limit drops all earlier ones.
 constexpr std::size_t kMaxWatches = 4096;
-constexpr duration kPushInterval = std::chrono::milliseconds(50);
 // A longer pause between two push rounds means that the process was suspended.
 constexpr duration kMaxRoundInterval = std::chrono::seconds(1);
 // Lease intervals after the start of a control VM in which it may not have
 // received all leases yet.
 constexpr int kSettleIntervals = 2;
+// Time for which an isolated control VM keeps the connection of a node that has
+// just chosen it. After the loss of a leader all control VMs are isolated for
+// less than a second, and a node that is closed at once would try them all
+// several times.
+constexpr duration kIsolatedNodeTime = std::chrono::milliseconds(300);
 
 // Returns whether this replica counts for a quorum. A replica that lost its
 // disk does not until it has caught up.
@@ -87,6 +92,11 @@
     routing_version_ = known_version;
   }
   [[nodiscard]] bool WatchesRouting() const { return watches_routing_; }
+  // Returns since when the peer is a node that uses this control VM as its
+  // registrar; std::nullopt for other peers.
+  [[nodiscard]] std::optional<time_point> NodeSince() const {
+    return node_since_;
+  }
 
   void PushRouting(const routing_feed& feed) {
     if (routing_version_ >= feed.Version()) return;
@@ -111,6 +121,10 @@
   }
 
   void Dispatch(frame_connection& connection, message content) {
+    const bool is_of_node = std::holds_alternative<lease_renewal>(content) ||
+                            std::holds_alternative<service_watch>(content) ||
+                            std::holds_alternative<routing_watch>(content);
+    if (is_of_node && !node_since_) node_since_ = service_.clock_.Now();
     if (const auto* renewal = std::get_if<lease_renewal>(&content)) {
       service_.HandleLease(connection, *renewal);
     } else if (const auto* end = std::get_if<lease_end>(&content)) {
@@ -140,6 +154,7 @@
   std::string sender_;
   frame_connection* connection_ = nullptr;
   bool watches_routing_ = false;
+  std::optional<time_point> node_since_;
   // Version that the watcher has reported or that was last sent to it.
   std::uint64_t routing_version_ = 0;
   std::map<std::string, std::uint64_t> watches_;
@@ -159,7 +174,6 @@
       forwarder_(clock, mesh),
       started_at_(clock.Now()),
       leases_broadcast_at_(started_at_),
-      leaders_known_at_(started_at_),
       last_round_at_(started_at_) {
   locations_.SetZone(options_.own_address, options_.availability_zone);
 }
@@ -223,33 +237,38 @@
   }
 }
 
-// A control VM that is isolated from the others, or was suspended for a while,
-// receives no renewals, so a missing renewal does not show that a node failed.
+// A control VM that is isolated, because it cannot prove that its stores are
+// current, or was suspended for a while, receives no renewals, so a missing
+// renewal does not show that a node failed.
 // It must neither expire leases nor push changes, and nodes move to another
 // registrar.
 void control_service::CheckIsolation(time_point now) {
   const bool was_suspended = now - last_round_at_ >= kMaxRoundInterval;
   last_round_at_ = now;
-  if (KnowsLeaders()) leaders_known_at_ = now;
   const bool was_isolated = isolated_;
-  isolated_ = now - leaders_known_at_ >= options_.isolation_limit;
+  isolated_ = !IsCurrent(now);
   if (isolated_ != was_isolated) {
+    const time_point current = CurrentAsOf();
+    const bool was_current = current != time_point::min();
     log_.Write(event_id::kControlIsolated,
                {{"isolated", isolated_},
-                {"age_ms", (now - CurrentAsOf()).count() / 1000},
+                {"age_ms", was_current ? (now - current).count() / 1000 : -1},
                 {"version", routing_feed_.Version()}});
-    if (isolated_) DisconnectRoutingWatchers();
   }
+  if (isolated_) DisconnectNodes(now);
   if (!was_suspended && (isolated_ || !was_isolated)) return;
   leases_.RefreshAll(now);
   started_at_ = now;
+  // The memberships that are complete again have to be pushed once more.
+  pushed_settled_ = false;
 }
 
-// Closes the connections of nodes that watch the routing table, so that they do
-// not keep an outdated version.
-void control_service::DisconnectRoutingWatchers() {
+// Closes the connections of nodes, so that they do not keep outdated tables and
+// settings.
+void control_service::DisconnectNodes(time_point now) {
   for (session* each : sessions_) {
-    if (each->WatchesRouting()) each->Close();
+    const auto since = each->NodeSince();
+    if (since && now - *since >= kIsolatedNodeTime) each->Close();
   }
 }
 
@@ -265,10 +284,9 @@
 
 void control_service::HandleLease(frame_connection& connection,
                                   const lease_renewal& renewal) {
-  if (isolated_) {
-    connection.Close();
-    return;
-  }
+  // A node without a reply keeps its lease elsewhere; see
+  // DisconnectNodes.
+  if (!IsCurrent(clock_.Now())) return;
   const bool changed =
       leases_.Renew(renewal, lease_source::kNode, duration(0), clock_.Now());
   connection.TrySend(
@@ -394,6 +412,7 @@
                                          const routing_watch& watch) {
   watcher.WatchRouting(watch.known_version);
   watcher.Push(locations_.List());
+  if (!IsCurrent(clock_.Now())) return;
   // A version that is committed here but not in the feed yet follows with the
   // next push round.
   watcher.PushRouting(routing_feed_);
@@ -515,8 +534,9 @@
 }
 
 bool control_service::HasSettled() const {
-  return clock_.Now() - started_at_ >=
-         kSettleIntervals * options_.lease_interval;
+  const time_point now = clock_.Now();
+  return IsCurrent(now) &&
+         now - started_at_ >= kSettleIntervals * options_.lease_interval;
 }
 
 replica_host* control_service::Store(store_id store) const {
--- a/src/controllers/control_service.h
+++ b/src/controllers/control_service.h
@@ -13,8 +13,10 @@
 #include "controllers/store_forwarder.h"
 #include "hornbeam/clock_source.h"
 #include "wire/call_link.h"
+#include "wire/endpoint.h"
 #include "wire/frame_connection.h"
 #include "wire/frame_listener.h"
+#include "wire/message_link.h"
 #include "wire/messages.h"
 
 namespace hornbeam {
@@ -38,10 +40,20 @@
   [[nodiscard]] std::vector<replica_host*> All() const;
 };
 
+// Interval at which a control VM checks that it is current and pushes changes.
+inline constexpr duration kPushInterval = std::chrono::milliseconds(50);
+// Time in which a node whose registrar is isolated has the table of another
+// control VM, if one of those that it tries does not answer: the check of the
+// registrar, a push round of the next one, two reconnects, a failed connect.
+inline constexpr duration kRegistrarMoveTime =
+    2 * kPushInterval + 2 * message_link_options{}.reconnect_delay +
+    kPeerConnectTimeout;
+
 struct control_service_options {
   duration lease_duration = std::chrono::milliseconds(4000);
   duration lease_interval = std::chrono::milliseconds(1000);
-  // A control VM without a known leader for this long counts as isolated.
+  // A control VM whose stores were not confirmed as current for this long
+  // counts as isolated.
   duration isolation_limit = std::chrono::seconds(2);
   std::string availability_zone;
   std::string own_address;  // "ip:port" of this control VM's peers listener.
@@ -75,6 +87,9 @@
   // Returns the time before which everything acknowledged is known here, in
   // each store.
   [[nodiscard]] time_point CurrentAsOf() const;
+  [[nodiscard]] bool IsCurrent(time_point now) const {
+    return CurrentAsOf() > now - options_.isolation_limit;
+  }
   class session;
 
   void HandleLease(frame_connection& connection, const lease_renewal& renewal);
@@ -99,7 +114,7 @@
   void HandleRoutingWatch(session& watcher, const routing_watch& watch);
   void UpdateControlMembers();
   void PushControlList();
-  void DisconnectRoutingWatchers();
+  void DisconnectNodes(time_point now);
   void PushChange(const change_record& change);
   void PushMemberships();
   [[nodiscard]] std::uint64_t StoreRevision() const;
@@ -118,10 +133,9 @@
   store_forwarder forwarder_;
   time_point started_at_;
   time_point leases_broadcast_at_;
-  // Last time at which a leader of each store was known.
-  time_point leaders_known_at_;
   time_point last_round_at_;
-  bool isolated_ = false;
+  // A control VM that has just started cannot know how old its disk is.
+  bool isolated_ = true;
   std::uint64_t pushed_revision_ = 0;
   std::uint64_t pushed_version_ = 0;
   bool pushed_settled_ = false;
--- a/src/daemon/daemon_settings.cc
+++ b/src/daemon/daemon_settings.cc
@@ -11,6 +11,7 @@
 
 #include "base/ini_document.h"
 #include "base/nearest_name.h"
+#include "controllers/control_service.h"
 #include "daemon/setting_catalogue.h"
 #include "daemon/setting_values.h"
 
@@ -152,6 +153,28 @@
     return found == document_.entries.end() ? nullptr : &*found;
   }
 
+  // A change is in force everywhere in time only if control VMs that are behind
+  // give up their nodes early enough. A limit below four heartbeats would
+  // isolate control VMs whose confirmation is on its way.
+  void CheckControlTimes() {
+    constexpr int kMinHeartbeats = 4;
+    if (settings_.process.role != daemon_role::kControl) return;
+    const control_settings& control = settings_.control;
+    if (control.isolation_limit < kMinHeartbeats * control.heartbeat_interval) {
+      AddCombinationError(
+          "control", "isolation_limit_ms", "shorter than four heartbeats",
+          fmt::format("{} or more",
+                      kMinHeartbeats * control.heartbeat_interval.count()));
+    }
+    const auto least = std::chrono::ceil<std::chrono::milliseconds>(
+        control.isolation_limit + kRegistrarMoveTime);
+    if (control.staleness_limit >= least) return;
+    AddCombinationError("control", "staleness_limit_ms",
+                        "shorter than isolation_limit_ms and a node's change "
+                        "of its registrar",
+                        fmt::format("{} or more", least.count()));
+  }
+
   // Checks rules that involve several keys, after each key has been validated
   // by itself.
   void CheckKeyCombinations() {
@@ -162,6 +185,7 @@
           "shorter than two lease renewal intervals",
           fmt::format("{} or more", 2 * limits.lease_interval.count()));
     }
+    CheckControlTimes();
     const listen_settings& listen = settings_.listen;
     if (IsSameListener(listen.peers, listen.local)) {
       AddCombinationError("listen", "local", "same address as listen.peers",
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -67,6 +67,7 @@
   std::chrono::milliseconds heartbeat_interval{};
   std::chrono::milliseconds election_timeout{};
   std::chrono::milliseconds isolation_limit{};
+  std::chrono::milliseconds staleness_limit{};
 };
 
 // One line of section [teams].
--- a/src/daemon/setting_catalogue.cc
+++ b/src/daemon/setting_catalogue.cc
@@ -142,11 +142,20 @@
      }},
     {"control", "isolation_limit_ms", kMilliseconds, kControl, 50, 60 * kSecond,
      "2000",
-     "A control VM that has known no leader for this long is not used as "
-     "registrar by any node.",
+     "A control VM whose stores no leader of a quorum has confirmed as current "
+     "for this long is not used as registrar by any node. At least four "
+     "heartbeats.",
      [](text, text value, daemon_settings& settings) {
        return StoreNumber(value, settings.control.isolation_limit);
      }},
+    {"control", "staleness_limit_ms", kMilliseconds, kControl, 50, 60 * kSecond,
+     "4000",
+     "Promised longest time from the acknowledgement of a change until no node "
+     "that reaches the control VMs applies an older version. At least "
+     "isolation_limit_ms and the time in which a node changes its registrar.",
+     [](text, text value, daemon_settings& settings) {
+       return StoreNumber(value, settings.control.staleness_limit);
+     }},
     {"storage", "data_folder", kPath, kControl, 0, 0, kRequired,
      "Directory on the VM's disk for all persistent data.",
      [](text, text value, daemon_settings& settings) {
--- a/src/replication/peer_progress.h
+++ b/src/replication/peer_progress.h
@@ -11,6 +11,7 @@
 
 #include "hornbeam/clock_source.h"
 #include "replication/log_entry.h"
+#include "replication/round_confirmation.h"
 
 namespace hornbeam {
 
@@ -36,7 +37,8 @@
   std::deque<std::uint64_t> in_flight;  // Last index of each message.
   std::optional<snapshot_transfer> transfer;
   std::uint64_t read_sequence = 0;  // Highest one that the peer returned.
-  time_point added_at;              // When the current leader added the peer.
+  round_confirmation<std::uint64_t> clock_readings;
+  time_point added_at;  // When the current leader added the peer.
   time_point last_heard_at;
   bool has_replied = false;  // To the current leader.
 
--- a/src/replication/replica_core.cc
+++ b/src/replication/replica_core.cc
@@ -8,6 +8,8 @@
 #include <utility>
 #include <variant>
 
+#include "hornbeam/random_source.h"
+
 namespace hornbeam {
 
 namespace {
@@ -17,6 +19,10 @@
 // may have been removed from the membership.
 constexpr int kVoterHelloDelayInElectionTimeouts = 4;
 
+constexpr std::uint64_t kFirstReadings = std::uint64_t{1} << 31U;
+// One step of a clock reading, which is sent with each reply.
+constexpr duration kClockReadingStep = std::chrono::milliseconds(1);
+
 // Returns whether `entries` follow `previous` without gaps and with
 // non-decreasing terms.
 bool AreConsecutive(const log_position& previous,
@@ -39,6 +45,8 @@
       now_(now),
       hard_state_(std::move(recovered.state)),
       leader_heard_at_(now),
+      started_at_(now),
+      first_reading_(1 + random.NextBelow(kFirstReadings)),
       discovery_(self_, options_.configured_names,
                  options_.election_timeout * kReportLifetimeInElectionTimeouts),
       next_hello_(now) {
@@ -60,10 +68,6 @@
   return hard_state_.formation ? hard_state_.formation->cluster_id : 0;
 }
 
-time_point replica_core::CurrentAsOf() const {
-  return leader_ ? now_ : leader_heard_at_;
-}
-
 bool replica_core::IsVoter() const { return log_.Membership().IsVoter(self_); }
 
 void replica_core::OnTick(time_point now) {
@@ -222,7 +226,8 @@
 void replica_core::Handle(const replica_message& message,
                           const append_request& body) {
   append_reply reply{.index = body.previous.index,
-                     .read_sequence = body.read_sequence};
+                     .read_sequence = body.read_sequence,
+                     .clock_reading = ClockReading()};
   if (!FollowLeader(message)) {
     // The term of the reply makes a stale leader step down.
     Send(message.from, reply);
@@ -238,6 +243,8 @@
     reply.index =
         std::max(commit_index_, body.previous.index + body.entries.size());
     AdvanceFollowerCommit(std::min(body.commit_index, reply.index));
+    if (commit_index_ >= body.commit_index)
+      RecordCurrency(body.confirmed_reading);
   } else {
     std::uint64_t hint = std::min(log_.LastIndex(), body.previous.index - 1);
     while (hint > commit_index_ &&
@@ -263,6 +270,20 @@
   }
 }
 
+std::uint64_t replica_core::ClockReading() const {
+  return first_reading_ +
+         static_cast<std::uint64_t>((now_ - started_at_) / kClockReadingStep);
+}
+
+void replica_core::RecordCurrency(std::uint64_t confirmed_reading) {
+  if (confirmed_reading < first_reading_ || confirmed_reading > ClockReading())
+    return;
+  const auto steps =
+      static_cast<duration::rep>(confirmed_reading - first_reading_);
+  current_as_of_ =
+      std::max(current_as_of_, started_at_ + steps * kClockReadingStep);
+}
+
 void replica_core::AdvanceFollowerCommit(std::uint64_t index) {
   if (index > commit_index_) EmitCommitted(index);
 }
@@ -281,7 +302,8 @@
 void replica_core::Handle(const replica_message& message,
                           const snapshot_chunk& body) {
   if (!FollowLeader(message)) {
-    Send(message.from, append_reply{.read_sequence = body.read_sequence});
+    Send(message.from, append_reply{.read_sequence = body.read_sequence,
+                                    .clock_reading = ClockReading()});
     return;
   }
   if (body.snapshot_index > commit_index_) {
@@ -292,7 +314,8 @@
   if (body.snapshot_index <= commit_index_) {
     Send(message.from, append_reply{.accepted = true,
                                     .index = body.snapshot_index,
-                                    .read_sequence = body.read_sequence});
+                                    .read_sequence = body.read_sequence,
+                                    .clock_reading = ClockReading()});
     return;
   }
   Send(message.from, snapshot_reply{.snapshot_index = body.snapshot_index,
--- a/src/replication/replica_core.h
+++ b/src/replication/replica_core.h
@@ -20,6 +20,7 @@
 #include "replication/replica_message.h"
 #include "replication/replica_options.h"
 #include "replication/replica_role.h"
+#include "replication/round_confirmation.h"
 #include "replication/snapshot_receiver.h"
 #include "replication/vote_tally.h"
 
@@ -111,8 +112,11 @@
   }
   [[nodiscard]] std::uint64_t CommitIndex() const { return commit_index_; }
   // Returns a time, on this replica's clock, such that this replica has
-  // committed every entry that was acknowledged before it.
-  [[nodiscard]] time_point CurrentAsOf() const;
+  // committed every entry that was acknowledged before it; the minimum if no
+  // such time is known. A leader proves it by the replies of a quorum. Another
+  // replica needs a round trip with a leader that a quorum confirmed meanwhile:
+  // messages of a leader that its replies do not reach prove nothing.
+  [[nodiscard]] time_point CurrentAsOf() const { return current_as_of_; }
   [[nodiscard]] const replica_log& Log() const { return log_; }
   // Returns the highest index known to be on the disk of `id`; 0 if this
   // replica is not the leader or does not replicate to `id`.
@@ -163,6 +167,8 @@
   void AppendEntries(const append_request& body);
   void InstallSnapshot(log_snapshot snapshot);
   void AdvanceFollowerCommit(std::uint64_t index);
+  [[nodiscard]] std::uint64_t ClockReading() const;
+  void RecordCurrency(std::uint64_t confirmed_reading);
 
   // Leader.
   void AppendAsLeader(entry_kind kind, std::string command,
@@ -226,6 +232,11 @@
   std::optional<replica_identity> leader_;
   time_point election_deadline_;
   time_point leader_heard_at_;
+  const time_point started_at_;
+  // Clock reading of the start. Random, so that a reading of an earlier process
+  // is not taken for one of this process.
+  const std::uint64_t first_reading_;
+  time_point current_as_of_ = time_point::min();
   // Whether the shorter first election timeout after the start has been used.
   bool first_timeout_used_ = false;
   unsigned failed_campaigns_ = 0;  // Since the last contact with a leader.
@@ -241,6 +252,7 @@
   time_point leader_since_;
   std::uint64_t first_index_of_term_ = 0;
   read_queue reads_;
+  round_confirmation<time_point> round_starts_;
   std::shared_ptr<const std::string> encoded_snapshot_;
   std::uint64_t encoded_snapshot_index_ = 0;
   std::size_t uncommitted_bytes_ = 0;
--- a/src/replication/replica_core_leader.cc
+++ b/src/replication/replica_core_leader.cc
@@ -17,6 +17,7 @@
   leader_since_ = now_;
   next_heartbeat_ = now_;
   peers_.clear();
+  round_starts_ = {};
   uncommitted_bytes_ = 0;
   for (std::uint64_t i = commit_index_ + 1; i <= log_.LastIndex(); ++i) {
     uncommitted_bytes_ += log_.At(i).command.size();
@@ -79,7 +80,7 @@
 
 void replica_core::SendHeartbeats() {
   next_heartbeat_ = now_ + options_.heartbeat_interval;
-  reads_.BeginRound();
+  round_starts_.Add(now_, reads_.BeginRound());
   for (auto& [peer, progress] : peers_) {
     if (progress.transfer) {
       SendSnapshotChunk(peer, progress);
@@ -124,11 +125,13 @@
   const std::uint64_t previous = progress.next_index - 1;
   const std::optional<std::uint64_t> term = log_.TermAt(previous);
   if (!term) return;  // SendEntries starts a snapshot transfer.
-  SendImmediately(peer,
-                  append_request{.previous = {.term = *term, .index = previous},
-                                 .commit_index = commit_index_,
-                                 .read_sequence = reads_.Sequence(),
-                                 .entries = std::move(entries)});
+  SendImmediately(
+      peer, append_request{.previous = {.term = *term, .index = previous},
+                           .commit_index = commit_index_,
+                           .read_sequence = reads_.Sequence(),
+                           .confirmed_reading =
+                               progress.clock_readings.Confirmed().value_or(0),
+                           .entries = std::move(entries)});
 }
 
 void replica_core::StartSnapshotTransfer(const replica_identity& peer,
@@ -187,6 +190,8 @@
                           const append_reply& body) {
   peer_progress* progress = RecordReply(message, body.read_sequence);
   if (progress == nullptr) return;
+  // A round that began before the reading arrived proves nothing about it.
+  progress->clock_readings.Add(body.clock_reading, reads_.Sequence() + 1);
   if (!body.accepted) {
     if (!progress->transfer) progress->OnRejected(body.index, body.hint_index);
     return;
@@ -263,6 +268,13 @@
   for (const std::uint64_t read_id : reads_.TakeConfirmed(sequence)) {
     output_.confirmed_reads.push_back(read_id);
   }
+  round_starts_.OnConfirmed(sequence);
+  current_as_of_ = std::max(
+      current_as_of_, round_starts_.Confirmed().value_or(time_point::min()));
+  for (auto& [peer, progress] : peers_) {
+    // Replicas are unproved after a change of leader, so they are told soon.
+    if (progress.clock_readings.OnConfirmed(sequence)) next_heartbeat_ = now_;
+  }
 }
 
 bool replica_core::HasActiveQuorum() const {
--- a/src/replication/replica_message.h
+++ b/src/replication/replica_message.h
@@ -65,12 +65,16 @@
   log_position previous;
   std::uint64_t commit_index = 0;
   std::uint64_t read_sequence = 0;  // Returned in the reply.
+  // The receiver's latest clock_reading since which a quorum has confirmed the
+  // leader: `commit_index` covers all that was acknowledged before it. 0 if
+  // there is none.
+  std::uint64_t confirmed_reading = 0;
   std::vector<log_entry> entries;
 
   template <class Archive>
   void serialize(Archive& archive) {
     archive(previous.term, previous.index, commit_index, read_sequence,
-            entries);
+            confirmed_reading, entries);
   }
 };
 
@@ -84,10 +88,12 @@
   // Rejected: the highest index up to which the logs can match.
   std::uint64_t hint_index = 0;
   std::uint64_t read_sequence = 0;
+  // The sender's clock, which means nothing to the leader; never 0.
+  std::uint64_t clock_reading = 0;
 
   template <class Archive>
   void serialize(Archive& archive) {
-    archive(accepted, index, hint_index, read_sequence);
+    archive(accepted, index, hint_index, read_sequence, clock_reading);
   }
 };
 
--- a/tests/daemon_settings_test.cc
+++ b/tests/daemon_settings_test.cc
@@ -90,6 +90,31 @@
       "intervals"));
 }
 
+// Guards against timers that together exceed the promised time until a change
+// is in force: each of them may be valid by itself.
+BOOST_AUTO_TEST_CASE(control_timers_beyond_the_staleness_limit_are_errors) {
+  const auto errors = [](const std::string& timers) {
+    return ErrorsOf(
+        "[process]\nrole=control\nname=c1\nregion=r\navailability_zone=z\n"
+        "[listen]\npeers=127.0.0.1:7001\nlocal=127.0.0.1:7101\n"
+        "[storage]\ndata_folder=/tmp/x\n"
+        "[control]\naddresses=127.0.0.1:7001\n" +
+        timers);
+  };
+  const std::string good =
+      "heartbeat_ms = 150\nisolation_limit_ms = 900\n"
+      "staleness_limit_ms = 2000\n";
+  BOOST_TEST(errors(good) == "");
+  BOOST_TEST(
+      Contains(errors("heartbeat_ms = 150\nisolation_limit_ms = 1500\n"
+                      "staleness_limit_ms = 2000\n"),
+               "control.staleness_limit_ms: shorter than isolation_limit_ms"));
+  BOOST_TEST(Contains(errors("heartbeat_ms = 250\nisolation_limit_ms = 900\n"
+                             "staleness_limit_ms = 2000\n"),
+                      "control.isolation_limit_ms: shorter than four "
+                      "heartbeats; accepted: 1000 or more"));
+}
+
 // Error messages go to terminals and logs, which must not contain tokens.
 BOOST_AUTO_TEST_CASE(invalid_token_is_not_shown) {
   const std::string errors =
--- a/tests/support/replica_simulation.cc
+++ b/tests/support/replica_simulation.cc
@@ -2,6 +2,7 @@
 
 #include <algorithm>
 #include <cstring>
+#include <iterator>
 #include <utility>
 
 namespace hornbeam {
@@ -165,7 +166,7 @@
       return;
     case step_kind::kTick:
     case step_kind::kWait:
-      target.now += kind == step_kind::kTick ? kShortWait : kLongWait;
+      AdvanceClock(target, kind == step_kind::kTick ? kShortWait : kLongWait);
       target.core->OnTick(target.now);
       CollectOutput(target);
       return;
@@ -339,6 +340,20 @@
   CollectOutput(target);
 }
 
+void replica_simulation::AdvanceClock(replica& target, duration step) {
+  target.now += step;
+  target.acknowledged_at[target.now] = oracle_.Acknowledged();
+}
+
+void replica_simulation::CheckCurrency(const replica& target) {
+  const auto after =
+      target.acknowledged_at.upper_bound(target.core->CurrentAsOf());
+  if (after == target.acknowledged_at.begin()) return;
+  const std::uint64_t required = std::prev(after)->second;
+  if (target.state.index < required)
+    oracle_.ReportViolation("current replica lacks index", required);
+}
+
 void replica_simulation::CollectOutput(replica& target) {
   replica_output output = target.core->TakeOutput(target.now);
   if (output.batch) target.writing = std::move(output.batch);
@@ -347,6 +362,7 @@
         {.from = IndexOf(target), .message = std::move(message)});
   }
   ApplyOutput(target, output);
+  CheckCurrency(target);
 }
 
 void replica_simulation::ApplyOutput(replica& target,
@@ -383,7 +399,7 @@
   for (int round = 0; round < rounds; ++round) {
     for (replica& each : replicas_) {
       if (&each == frozen) continue;
-      each.now += step;
+      AdvanceClock(each, step);
       each.core->OnTick(each.now);
       CollectOutput(each);
     }
--- a/tests/support/replica_simulation.h
+++ b/tests/support/replica_simulation.h
@@ -58,6 +58,8 @@
     std::unique_ptr<replica_core> core;
     std::optional<storage_batch> writing;
     time_point now{std::chrono::hours(1)};  // Each replica has its own clock.
+    // Highest acknowledged index when its clock reached each time.
+    std::map<time_point, std::uint64_t> acknowledged_at;
     bool isolated = false;
     applied_state state;
     std::map<std::uint64_t, std::uint64_t> proposals;  // Terms by index.
@@ -86,7 +88,10 @@
   // Runs `rounds` rounds in which every replica except `frozen` (which may be
   // null) ticks by `step`, receives its messages and completes its write.
   void RunRounds(int rounds, duration step, const replica* frozen);
+  void AdvanceClock(replica& target, duration step);
   void CollectOutput(replica& target);
+  // Checks that `target` has applied all that it claims to have.
+  void CheckCurrency(const replica& target);
   void ApplyOutput(replica& target, const replica_output& output);
   // Returns whether every membership that may be in effect keeps a quorum if
   // the current identity of `target` is replaced with `replacement`.
