A replica whose disk failed takes part again once the disk takes data

Cause: the first failed write ended a replica for the life of its process. After the second disk there was no quorum.

Fix: the storage is reopened, first after 100 ms, then with doubled delays up to 1 s. The file is cut back to its last synced byte, since a frame whose sync failed may be readable without being on disk; the state is read again and a write proves that there is room. The replica then starts anew from the disk; its state machine stays, as what it applied is committed. A corrupt store is not reopened. Events 6002 and 6003, metric hornbeam_failed_storages.

New: file_log_storage_test/ reopened_storage_takes_batches_and_lost_the_failed_one, with real files whose size is limited.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -70,7 +70,10 @@
     {event_id::kReplicaRoleChanged, "replica_role_changed", kInfo,
      "A replica of a store changed its role or term."},
     {event_id::kReplicaStorageFailed, "replica_storage_failed", kError,
-     "A replica's disk failed; the replica stops participating."},
+     "A replica's disk failed; the replica takes no part until its storage is "
+     "opened again, which is tried if `reopens` is true."},
+    {event_id::kReplicaStorageRegained, "replica_storage_regained", kInfo,
+     "A replica's disk takes data again; the replica follows its leader."},
     {event_id::kProcessStarted, "process_started", kInfo,
      "The process is ready."},
     {event_id::kProcessDraining, "process_draining", kInfo,
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -47,6 +47,7 @@
   // Replication.
   kReplicaRoleChanged = 6001,
   kReplicaStorageFailed = 6002,
+  kReplicaStorageRegained = 6003,
   // Process lifecycle.
   kProcessStarted = 7001,
   kProcessDraining = 7002,
--- a/src/controllers/replica_host_impl.cc
+++ b/src/controllers/replica_host_impl.cc
@@ -2,6 +2,7 @@
 
 #include <fmt/format.h>
 
+#include <algorithm>
 #include <optional>
 #include <utility>
 #include <vector>
@@ -15,6 +16,11 @@
 
 namespace {
 
+// Delay before the first attempt to reopen failed storage; doubles with each
+// failed attempt up to the maximum.
+constexpr duration kFirstReopenDelay = std::chrono::milliseconds(100);
+constexpr duration kMaxReopenDelay = std::chrono::seconds(1);
+
 replica_error ToReplicaError(propose_error error,
                              const std::optional<replica_identity>& leader) {
   switch (error) {
@@ -33,14 +39,15 @@
 replica_host_impl::replica_host_impl(replica_options options,
                                      replica_host_dependencies dependencies,
                                      recovered_state recovered)
-    : options_(options),
+    : options_(std::move(options)),
       machine_(std::move(dependencies.machine)),
       transport_(dependencies.transport),
       clock_(dependencies.clock),
+      random_(dependencies.random),
       events_(dependencies.events),
       post_(std::move(dependencies.post)),
-      core_(std::move(options), std::move(recovered), dependencies.random,
-            dependencies.clock.Now()),
+      core_(std::make_unique<replica_core>(options_, std::move(recovered),
+                                           random_, clock_.Now())),
       alive_(std::make_shared<replica_host_impl*>(this)) {
   const std::weak_ptr<replica_host_impl*> host = alive_;
   disk_ = std::make_unique<storage_thread>(
@@ -50,6 +57,12 @@
           const auto alive = host.lock();
           if (alive) (*alive)->OnWritten(written);
         });
+      },
+      [post = post_, host](result<recovered_state, storage_error> reopened) {
+        post([host, reopened = std::move(reopened)]() mutable {
+          const auto alive = host.lock();
+          if (alive) (*alive)->OnReopened(std::move(reopened));
+        });
       });
   Advance();
 }
@@ -67,8 +80,8 @@
   if (proposals_.size() >= options_.max_waiting) {
     return done(replica_error::kOverloaded);
   }
-  const auto position = core_.Propose(std::move(command), clock_.WallNow());
-  if (!position) return done(ToReplicaError(position.error(), core_.Leader()));
+  const auto position = core_->Propose(std::move(command), clock_.WallNow());
+  if (!position) return done(ToReplicaError(position.error(), core_->Leader()));
   waiting_proposal& waiting = proposals_[position.value().index];
   // A proposal from an earlier term at the same index has been overwritten in
   // this replica's log, but another replica may still hold it and get it
@@ -84,8 +97,8 @@
 void replica_host_impl::Query(std::string query, time_point deadline,
                               replica_callback done) {
   if (!storage_fault_.empty()) return done(replica_error::kStorageFailed);
-  if (core_.Role() != replica_role::kLeader) {
-    return done(ToReplicaError(propose_error::kNotLeader, core_.Leader()));
+  if (core_->Role() != replica_role::kLeader) {
+    return done(ToReplicaError(propose_error::kNotLeader, core_->Leader()));
   }
   if (queries_.size() >= options_.max_waiting) {
     return done(replica_error::kOverloaded);
@@ -93,7 +106,7 @@
   const std::uint64_t number = next_query_++;
   queries_[number] = {
       .query = std::move(query), .deadline = deadline, .done = std::move(done)};
-  core_.RequestRead(number);
+  core_->RequestRead(number);
   Advance();
 }
 
@@ -106,33 +119,77 @@
   if (!storage_fault_.empty()) return;
   const auto message = DecodeReplicaMessage(bytes);
   if (!message || message->from.name != from) return;
-  core_.OnMessage(*message, clock_.Now());
+  core_->OnMessage(*message, clock_.Now());
   Advance();
 }
 
 void replica_host_impl::Tick(time_point now) {
   ExpireWaiting(now);
-  if (!storage_fault_.empty()) return;
-  core_.OnTick(now);
+  if (!storage_fault_.empty()) return MaybeReopen(now);
+  core_->OnTick(now);
   Advance();
 }
 
 void replica_host_impl::OnWritten(const result<void, storage_error>& written) {
   if (written) {
-    core_.OnPersisted(clock_.Now());
+    core_->OnPersisted(clock_.Now());
     Advance();
     return;
   }
-  // After a failed write the contents of the disk are unknown, so this replica
-  // stops taking part in the protocol.
-  storage_fault_ = written.error().detail;
+  LoseStorage(written.error());
+}
+
+// What the core believes may be lost, so the core gets no further messages or
+// ticks. The state machine stays: what it has applied is committed.
+void replica_host_impl::LoseStorage(const storage_error& error) {
+  storage_fault_ = error.detail;
+  storage_lost_at_ = clock_.Now();
+  reopen_delay_ = kFirstReopenDelay;
+  if (error.kind != storage_error_kind::kCorrupt)
+    reopen_at_ = storage_lost_at_ + reopen_delay_;
   events_.Write(event_id::kReplicaStorageFailed,
                 {{"store", options_.store_name},
                  {"replica", options_.name},
-                 {"reason", storage_fault_}});
+                 {"reason", storage_fault_},
+                 {"reopens", reopen_at_.has_value()}});
   FinishAll(replica_error::kStorageFailed);
 }
 
+void replica_host_impl::MaybeReopen(time_point now) {
+  if (!reopen_at_ || now < *reopen_at_) return;
+  reopen_at_.reset();
+  disk_->Reopen();
+}
+
+void replica_host_impl::OnReopened(
+    result<recovered_state, storage_error> reopened) {
+  const time_point now = clock_.Now();
+  if (!reopened) {
+    const storage_error& error = reopened.error();
+    reopen_delay_ = std::min(2 * reopen_delay_, kMaxReopenDelay);
+    if (error.kind != storage_error_kind::kCorrupt)
+      reopen_at_ = now + reopen_delay_;
+    if (error.detail == storage_fault_) return;
+    storage_fault_ = error.detail;
+    events_.Write(event_id::kReplicaStorageFailed,
+                  {{"store", options_.store_name},
+                   {"replica", options_.name},
+                   {"reason", storage_fault_},
+                   {"reopens", reopen_at_.has_value()}});
+    return;
+  }
+  storage_fault_.clear();
+  core_ = std::make_unique<replica_core>(options_, std::move(reopened).value(),
+                                         random_, now);
+  events_.Write(event_id::kReplicaStorageRegained,
+                {{"store", options_.store_name},
+                 {"replica", options_.name},
+                 {"term", core_->Term()},
+                 {"last_index", core_->Log().LastIndex()},
+                 {"lost_ms", (now - storage_lost_at_).count() / 1000}});
+  Advance();
+}
+
 void replica_host_impl::Advance() {
   // A callback may propose or query. Its step runs after the current one, so
   // that no reply comes from a partially applied state.
@@ -143,7 +200,7 @@
 }
 
 void replica_host_impl::AdvanceOnce() {
-  replica_output output = core_.TakeOutput(clock_.Now());
+  replica_output output = core_->TakeOutput(clock_.Now());
   LogRoleChange();
   if (output.batch) disk_->Write(std::move(*output.batch));
   for (const addressed_message& message : output.messages) {
@@ -162,6 +219,8 @@
 }
 
 void replica_host_impl::Apply(const log_entry& entry) {
+  // Applied before the storage was reopened.
+  if (entry.index <= applied_index_) return;
   applied_index_ = entry.index;
   bytes_since_snapshot_ += entry.command.size() + sizeof(log_entry);
   std::string reply;
@@ -183,14 +242,11 @@
 }
 
 void replica_host_impl::Restore(const log_snapshot& snapshot) {
+  // Applied before the storage was reopened.
+  if (snapshot.index <= applied_index_) return;
   if (!machine_->RestoreSnapshot(snapshot.state)) {
-    storage_fault_ = "the state machine rejected a snapshot";
-    events_.Write(event_id::kReplicaStorageFailed,
-                  {{"store", options_.store_name},
-                   {"replica", options_.name},
-                   {"reason", storage_fault_}});
-    FinishAll(replica_error::kStorageFailed);
-    return;
+    return LoseStorage({.kind = storage_error_kind::kCorrupt,
+                        .detail = "the state machine rejected a snapshot"});
   }
   applied_index_ = snapshot.index;
   snapshot_index_ = snapshot.index;
@@ -239,45 +295,45 @@
   if (bytes_since_snapshot_ < options_.snapshot_log_bytes) return;
   bytes_since_snapshot_ = 0;
   snapshot_index_ = applied_index_;
-  core_.OnSnapshotTaken(applied_index_, machine_->TakeSnapshot());
+  core_->OnSnapshotTaken(applied_index_, machine_->TakeSnapshot());
   Advance();
 }
 
 void replica_host_impl::LogRoleChange() {
-  if (core_.Role() == logged_role_ && core_.Term() == logged_term_) return;
-  logged_role_ = core_.Role();
-  logged_term_ = core_.Term();
+  if (core_->Role() == logged_role_ && core_->Term() == logged_term_) return;
+  logged_role_ = core_->Role();
+  logged_term_ = core_->Term();
   events_.Write(event_id::kReplicaRoleChanged,
                 {{"store", options_.store_name},
                  {"replica", options_.name},
                  {"role", ReplicaRoleName(logged_role_)},
                  {"term", logged_term_},
-                 {"commit_index", core_.CommitIndex()}});
+                 {"commit_index", core_->CommitIndex()}});
 }
 
 replica_status replica_host_impl::Status() const {
-  replica_status status{.role = core_.Role(),
-                        .term = core_.Term(),
-                        .cluster_id = core_.ClusterId(),
-                        .incarnation = core_.Self().incarnation,
-                        .leader = core_.Leader() ? core_.Leader()->name : "",
-                        .last_index = core_.Log().LastIndex(),
-                        .commit_index = core_.CommitIndex(),
+  replica_status status{.role = core_->Role(),
+                        .term = core_->Term(),
+                        .cluster_id = core_->ClusterId(),
+                        .incarnation = core_->Self().incarnation,
+                        .leader = core_->Leader() ? core_->Leader()->name : "",
+                        .last_index = core_->Log().LastIndex(),
+                        .commit_index = core_->CommitIndex(),
                         .applied_index = applied_index_,
                         .snapshot_index = snapshot_index_,
-                        .current_as_of = core_.CurrentAsOf(),
+                        .current_as_of = core_->CurrentAsOf(),
                         .storage_fault = storage_fault_,
                         .replicas = {}};
   if (!storage_fault_.empty()) {
     status.role = replica_role::kFollower;
     status.leader.clear();
   }
-  for (const replica_member& member : core_.Log().Membership().members) {
+  for (const replica_member& member : core_->Log().Membership().members) {
     status.replicas.push_back(
         {.name = member.identity.name,
          .incarnation = member.identity.incarnation,
          .voter = member.voter,
-         .match_index = core_.MatchIndex(member.identity)});
+         .match_index = core_->MatchIndex(member.identity)});
   }
   return status;
 }
--- a/src/controllers/replica_host_impl.h
+++ b/src/controllers/replica_host_impl.h
@@ -5,6 +5,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <string_view>
 
@@ -45,6 +46,11 @@
   };
 
   void OnWritten(const result<void, storage_error>& written);
+  // Ends this replica's part in the protocol until its storage is reopened; for
+  // good if `error` is kCorrupt.
+  void LoseStorage(const storage_error& error);
+  void MaybeReopen(time_point now);
+  void OnReopened(result<recovered_state, storage_error> reopened);
   // Executes the outputs of the core until there are none left.
   void Advance();
   void AdvanceOnce();
@@ -60,9 +66,10 @@
   const std::unique_ptr<state_machine> machine_;
   replica_transport& transport_;
   const clock_source& clock_;
+  random_source& random_;
   event_log& events_;
   const task_poster post_;
-  replica_core core_;
+  std::unique_ptr<replica_core> core_;  // Replaced when storage is reopened.
   std::map<std::uint64_t, waiting_proposal> proposals_;
   std::map<std::uint64_t, waiting_query> queries_;
   std::uint64_t next_query_ = 1;
@@ -73,7 +80,12 @@
   bool advance_again_ = false;
   replica_role logged_role_ = replica_role::kUnformed;
   std::uint64_t logged_term_ = 0;
-  std::string storage_fault_;
+  std::string storage_fault_;  // Empty while the storage works.
+  time_point storage_lost_at_;
+  // Next attempt to reopen the storage; std::nullopt while one is under way and
+  // if there will be none.
+  std::optional<time_point> reopen_at_;
+  duration reopen_delay_{};
   // Posted tasks hold a weak reference to it, so that a task that runs after
   // the host was destroyed does nothing.
   std::shared_ptr<replica_host_impl*> alive_;
--- a/src/controllers/storage_thread.cc
+++ b/src/controllers/storage_thread.cc
@@ -6,9 +6,11 @@
 namespace hornbeam {
 
 storage_thread::storage_thread(std::unique_ptr<log_storage> storage,
-                               completion done)
+                               write_completion written,
+                               reopen_completion reopened)
     : storage_(std::move(storage)),
-      done_(std::move(done)),
+      written_(std::move(written)),
+      reopened_(std::move(reopened)),
       thread_([this] { Run(); }) {}
 
 storage_thread::~storage_thread() {
@@ -16,14 +18,24 @@
   thread_.join();
 }
 
-void storage_thread::Write(storage_batch batch) {
-  const bool pushed = queue_.TryPush(std::move(batch));
+void storage_thread::Write(storage_batch batch) { Push(std::move(batch)); }
+
+void storage_thread::Reopen() { Push(reopen_request()); }
+
+void storage_thread::Push(task next) {
+  const bool pushed = queue_.TryPush(std::move(next));
   assert(pushed);
   static_cast<void>(pushed);
 }
 
 void storage_thread::Run() {
-  while (const auto batch = queue_.Pop()) done_(storage_->Write(*batch));
+  while (const auto next = queue_.Pop()) {
+    if (const auto* batch = std::get_if<storage_batch>(&*next)) {
+      written_(storage_->Write(*batch));
+    } else {
+      reopened_(storage_->Reopen());
+    }
+  }
 }
 
 }  // namespace hornbeam
--- a/src/daemon/control_daemon.cc
+++ b/src/daemon/control_daemon.cc
@@ -46,6 +46,10 @@
 constexpr metric_family kLeases{"hornbeam_leases",
                                 "Nodes whose lease this control VM knows."};
 
+constexpr metric_family kFailedStorages{
+    "hornbeam_failed_storages",
+    "Stores whose replica takes no part because its disk failed."};
+
 // All components of one control process. Created, run and destroyed by
 // RunControl on the I/O thread.
 class control_daemon {
@@ -197,6 +201,13 @@
     metrics_.GetCounter(kMeshBytes)
         .RaiseTo(static_cast<double>(mesh_.TotalBytes()));
     metrics_.GetGauge(kLeases).Set(static_cast<double>(service_->LeaseCount()));
+    const auto stores = {settings_store_.get(), ledger_store_.get(),
+                         routing_store_.get()};
+    metrics_.GetGauge(kFailedStorages)
+        .Set(static_cast<double>(
+            std::ranges::count_if(stores, [](const replica_host* store) {
+              return store != nullptr && !store->Status().storage_fault.empty();
+            })));
   }
 
   const daemon_settings& settings_;
--- a/src/replication/file_log_storage.cc
+++ b/src/replication/file_log_storage.cc
@@ -246,6 +246,34 @@
   return written;
 }
 
+result<recovered_state, storage_error> file_log_storage::Reopen() {
+  auto loaded = LoadAgain();
+  if (loaded) {
+    failure_.reset();
+  } else {
+    failure_ = loaded.error();
+  }
+  return loaded;
+}
+
+result<recovered_state, storage_error> file_log_storage::LoadAgain() {
+  // The frame of the failed write may be readable without being on disk, so it
+  // must not be read back.
+  if (file_ != nullptr) {
+    auto cut = file_->CutBack();
+    if (!cut) return std::move(cut).error();
+  }
+  segments_.clear();
+  file_.reset();
+  next_sequence_ = 1;
+  state_ = {};
+  auto loaded = Load();
+  if (!loaded) return loaded;
+  auto written = AppendState();
+  if (!written) return std::move(written).error();
+  return loaded;
+}
+
 result<void, storage_error> file_log_storage::WriteBatch(
     const storage_batch& batch) {
   storage_frame frame{
--- a/src/replication/file_log_storage.h
+++ b/src/replication/file_log_storage.h
@@ -27,7 +27,8 @@
 //   after a sync.
 // - `lock`: held while the directory is in use.
 //
-// Each batch costs one fdatasync. After a failed write all further writes fail.
+// Each batch costs one fdatasync. After a failed write all further writes fail
+// until Reopen succeeds.
 class file_log_storage final : public log_storage {
  public:
   static constexpr std::uint64_t kDefaultSegmentBytes = std::uint64_t{32}
@@ -44,6 +45,7 @@
 
   result<recovered_state, storage_error> Load() override;
   result<void, storage_error> Write(const storage_batch& batch) override;
+  result<recovered_state, storage_error> Reopen() override;
 
  private:
   struct segment {
@@ -55,6 +57,7 @@
                    std::uint64_t new_incarnation, std::uint64_t segment_bytes,
                    std::unique_ptr<directory_lock> lock);
 
+  result<recovered_state, storage_error> LoadAgain();
   result<void, storage_error> LoadIdentity(recovered_state& recovered);
   result<void, storage_error> LoadSnapshot(recovered_state& recovered);
   result<void, storage_error> LoadSegments(recovered_state& recovered);
--- a/src/replication/log_storage.h
+++ b/src/replication/log_storage.h
@@ -77,8 +77,9 @@
   std::vector<log_entry> entries;  // Entries after the snapshot, without gaps.
 };
 
-// Reason why the storage cannot be used. After any storage error the replica
-// stops permanently, because the disk content after a failed sync is unknown.
+// Reason why the storage cannot be used. The disk content after a failed sync
+// is unknown, so the replica stops until Reopen succeeds; kCorrupt is
+// permanent.
 enum class storage_error_kind : std::uint8_t {
   kIo,       // A system call failed.
   kFull,     // No space is left.
@@ -105,8 +106,13 @@
   virtual result<recovered_state, storage_error> Load() = 0;
 
   // Writes and syncs `batch`; returns success only if the whole batch is on
-  // disk. After an error every further call fails.
+  // disk. After an error every further call fails until Reopen succeeds.
   virtual result<void, storage_error> Write(const storage_batch& batch) = 0;
+
+  // After a failed Write: drops what is not certainly on disk, reads the stored
+  // state again and proves by a write that the disk takes data. May be called
+  // again after an error.
+  virtual result<recovered_state, storage_error> Reopen() = 0;
 };
 
 }  // namespace hornbeam
--- a/src/replication/synced_file.cc
+++ b/src/replication/synced_file.cc
@@ -69,6 +69,14 @@
   return success();
 }
 
+result<void, storage_error> synced_file::CutBack() {
+  if (::ftruncate(descriptor_, static_cast<off_t>(size_)) != 0) {
+    return MakeSystemError("ftruncate", path_);
+  }
+  if (::fsync(descriptor_) != 0) return MakeSystemError("fsync", path_);
+  return success();
+}
+
 result<std::unique_ptr<directory_lock>, storage_error>
 directory_lock::MakeDirectoryLock(const std::filesystem::path& directory) {
   const std::filesystem::path path = directory / "lock";
--- a/src/replication/synced_file.h
+++ b/src/replication/synced_file.h
@@ -25,6 +25,9 @@
   // Appends `bytes` and calls fdatasync.
   result<void, storage_error> Append(std::string_view bytes);
 
+  // Removes what a failed Append may have left behind the last synced byte.
+  result<void, storage_error> CutBack();
+
   [[nodiscard]] std::uint64_t size() const { return size_; }
 
  private:
--- a/tests/file_log_storage_test.cc
+++ b/tests/file_log_storage_test.cc
@@ -48,6 +48,28 @@
          a.entries == b.entries && index(a) == index(b);
 }
 
+// Limits the size of files that this process writes, while it exists.
+class file_size_limit {
+ public:
+  explicit file_size_limit(std::size_t bytes)
+      : handler_(std::signal(SIGXFSZ, SIG_IGN)) {
+    ::getrlimit(RLIMIT_FSIZE, &before_);
+    rlimit limited = before_;
+    limited.rlim_cur = bytes;
+    ::setrlimit(RLIMIT_FSIZE, &limited);
+  }
+  ~file_size_limit() {
+    ::setrlimit(RLIMIT_FSIZE, &before_);
+    std::signal(SIGXFSZ, handler_);
+  }
+  file_size_limit(const file_size_limit&) = delete;
+  file_size_limit& operator=(const file_size_limit&) = delete;
+
+ private:
+  rlimit before_{};
+  void (*const handler_)(int);
+};
+
 std::vector<fs::path> ListSegments(const fs::path& directory) {
   std::vector<fs::path> paths;
   for (const auto& file : fs::directory_iterator(directory)) {
@@ -275,16 +297,12 @@
     const auto storage = Open(directory.Path(), 1U << 20U);
     BOOST_REQUIRE(storage->Load().has_value());
     BOOST_REQUIRE(storage->Write(MakeBatch(1, 1)).has_value());
-    rlimit before{};
-    ::getrlimit(RLIMIT_FSIZE, &before);
-    rlimit limited = before;
-    limited.rlim_cur =
-        ReadFile(ListSegments(directory.Path()).back()).size() + 50;
-    const auto handler = std::signal(SIGXFSZ, SIG_IGN);
-    ::setrlimit(RLIMIT_FSIZE, &limited);
-    const auto failed = storage->Write(MakeBatch(2, 1));
-    ::setrlimit(RLIMIT_FSIZE, &before);
-    std::signal(SIGXFSZ, handler);
+    result<void, storage_error> failed = success();
+    {
+      const file_size_limit limit(
+          ReadFile(ListSegments(directory.Path()).back()).size() + 50);
+      failed = storage->Write(MakeBatch(2, 1));
+    }
     BOOST_REQUIRE(!failed.has_value());
     BOOST_TEST(!failed.error().detail.empty());
     BOOST_TEST(!storage->Write(MakeBatch(2, 1)).has_value());
@@ -294,6 +312,41 @@
   BOOST_TEST(recovered.value().entries.size() == 1U);
 }
 
+// Guards against storage that takes nothing after its disk was full once, that
+// reads a failed batch back, or that counts as usable while nothing fits.
+BOOST_AUTO_TEST_CASE(reopened_storage_takes_batches_and_lost_the_failed_one) {
+  constexpr std::uint64_t kRounds = 24;
+  // A part of a frame header fits, or no byte at all, with and without the
+  // start of a new segment.
+  for (const bool part_fits : {false, true}) {
+    const temporary_directory directory;
+    {
+      const auto storage =
+          Open(directory.Path(), part_fits ? 1U << 20U : kSmallSegment);
+      BOOST_REQUIRE(storage->Load().has_value());
+      for (std::uint64_t index = 1; index <= kRounds; ++index) {
+        {
+          const std::size_t size =
+              ReadFile(ListSegments(directory.Path()).back()).size();
+          const file_size_limit limit(part_fits ? size + index : 0);
+          BOOST_TEST(!storage->Write(MakeBatch(index, 1)).has_value());
+          BOOST_TEST(!storage->Reopen().has_value());
+          BOOST_TEST(!storage->Write(MakeBatch(index, 1)).has_value());
+        }
+        const auto reopened = storage->Reopen();
+        BOOST_REQUIRE(reopened.has_value());
+        BOOST_TEST(reopened.value().incarnation == kIncarnation);
+        BOOST_TEST(reopened.value().entries.size() == index - 1);
+        BOOST_REQUIRE(storage->Write(MakeBatch(index, 1)).has_value());
+      }
+      BOOST_TEST((ListSegments(directory.Path()).size() > 1U) == !part_fits);
+    }
+    const auto recovered = Open(directory.Path())->Load();
+    BOOST_REQUIRE(recovered.has_value());
+    BOOST_TEST(recovered.value().entries.size() == kRounds);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hornbeam
--- a/tests/support/memory_log_storage.h
+++ b/tests/support/memory_log_storage.h
@@ -74,6 +74,11 @@
     disk_.Write(batch);
     return success();
   }
+  result<recovered_state, storage_error> Reopen() override {
+    auto written = Write({});
+    if (!written) return std::move(written).error();
+    return disk_.Recover();
+  }
 
  private:
   memory_disk& disk_;
