A draining HTTP server takes no request behind a running one

Seen by callers: in a planned stop, requests that came late in the grace time were taken and passed on, and cut with no answer at its end (LOST).

Cause: a session that drains kept reading. A caller that sends its next request before the last answer kept the queue of answers filled, so none was ever the last one, and the requests that ran at the end of the grace time were cut.

Fix: once draining, a request behind one that has not been answered yet is not read; the answer before it closes the connection, which tells the caller that it was not read. The connection lingers for a second, since closing it while the caller sends could take the last answer with it.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -35,6 +35,10 @@
 constexpr int kIdleChecksPerTimeout = 10;
 // Time from the start of a drain until idle connections are closed; see Drain.
 constexpr duration kDrainGracePeriod = std::chrono::milliseconds(500);
+// Time in which a caller may take the last answer of a drained connection. A
+// connection that is closed while its caller still sends is reset, and the
+// answer may be lost with it.
+constexpr duration kLingerTime = std::chrono::seconds(1);
 
 using request_parser = http::request_parser<http::string_body>;
 using beast_response = http::response<http::string_body>;
@@ -146,7 +150,7 @@
   };
 
   void StopReadingIfIdle() {
-    if (!idle_ || !exchanges_.empty()) return;
+    if (!idle_ || !exchanges_.empty() || write_ended_) return;
     boost::system::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_receive, ignored);
   }
@@ -160,6 +164,7 @@
     parser.body_limit(options_.body_limit_bytes);
     boost::system::error_code error;
     if (!WaitForRequestSlot() || !WaitForFirstByte()) return EndReading();
+    if (!TakesRequests()) return WatchForDisconnect();
     stream_.expires_after(options_.transfer_timeout);
     http::async_read_header(stream_, buffer_, parser, FiberWait(error));
     if (!error && WantsContinue(parser.get())) SendContinue(parser.get());
@@ -190,7 +195,7 @@
 
   bool WaitForFirstByte() {
     if (buffer_.size() > 0) return true;
-    if (close_when_idle_ && exchanges_.empty()) return false;
+    if (close_when_idle_ && exchanges_.empty() && !write_ended_) return false;
     idle_ = true;
     boost::system::error_code error;
     stream_.expires_never();
@@ -201,11 +206,19 @@
     return !error;
   }
 
+  // While draining, a request behind one whose answer will close the connection
+  // is not read; the caller sends it again elsewhere.
+  [[nodiscard]] bool TakesRequests() const {
+    return !draining_ || exchanges_.empty() ||
+           (exchanges_.size() == 1 && writing_kept_alive_);
+  }
+
   // Called when the caller has closed the connection: cancels all handlers,
   // because their answers cannot be delivered.
   bool EndReading() {
     if (read_ended_) return false;
     read_ended_ = true;
+    changed_.notify_all();
     for (const auto& each : exchanges_) each->caller_disconnected.Cancel();
     return false;
   }
@@ -281,9 +294,12 @@
                 answered.head_only);
     boost::system::error_code error;
     stream_.expires_after(options_.transfer_timeout);
+    writing_kept_alive_ = keep_alive;
     http::async_write(stream_, sent, FiberWait(error));
+    writing_kept_alive_ = false;
     if (!error && keep_alive) return;
     write_ended_ = true;
+    if (!error && draining_) return Linger();
     boost::system::error_code ignored;
     // Unblocks a reader that waits for the next request.
     stream_.socket().shutdown(
@@ -291,6 +307,20 @@
         ignored);
   }
 
+  // Ends the answers, and the reading once the caller has closed or had time
+  // to.
+  void Linger() {
+    boost::system::error_code ignored;
+    stream_.socket().shutdown(tcp::socket::shutdown_send, ignored);
+    fibers_.Start([self = shared_from_this()] {
+      std::unique_lock lock(self->mutex_);
+      self->changed_.wait_until(lock, self->clock_.Now() + kLingerTime,
+                                [&self] { return self->read_ended_; });
+      boost::system::error_code closed;
+      self->stream_.socket().shutdown(tcp::socket::shutdown_receive, closed);
+    });
+  }
+
   void Shutdown() {
     boost::system::error_code ignored;
     stream_.socket().shutdown(tcp::socket::shutdown_both, ignored);
@@ -312,7 +342,8 @@
   std::deque<std::shared_ptr<exchange>> exchanges_;
   time_point idle_since_;
   bool writing_ = false;
-  bool write_ended_ = false;  // No more answers are written.
+  bool writing_kept_alive_ = false;  // An answer after which more may follow.
+  bool write_ended_ = false;         // No more answers are written.
   bool idle_ = false;
   bool draining_ = false;
   bool close_when_idle_ = false;
