--- a/tests/replica_currency_test.cc
+++ b/tests/replica_currency_test.cc
@@ -8,6 +8,7 @@
 #include <set>
 #include <string>
 #include <utility>
+#include <variant>
 #include <vector>
 
 #include "base/seeded_random_source.h"
@@ -185,6 +186,93 @@
   }
 }
 
+// Guards against a reading that counts for a round that began before it: others
+// may have replied to that round and then elected another leader, which had a
+// change acknowledged before the reading was made.
+BOOST_AUTO_TEST_CASE(clock_reading_is_confirmed_by_a_later_round_only) {
+  constexpr std::uint64_t kReading = 77;
+  const time_point start{std::chrono::hours(1)};
+  recovered_state recovered{.incarnation = 1};
+  auto& formation = recovered.state.formation.emplace();
+  formation.cluster_id = 1;
+  const std::vector<std::string> names = {"a", "b", "c", "d", "e"};
+  for (const std::string& name : names) {
+    formation.membership.members.push_back(
+        {.identity = {.name = name, .incarnation = 1}, .voter = true});
+  }
+  seeded_random_source random(1);
+  replica_core leader({.name = "a",
+                       .configured_names = names,
+                       .heartbeat_interval = kHeartbeat,
+                       .election_timeout = kElectionTimeout},
+                      std::move(recovered), random, start);
+  time_point now = start;
+  std::uint64_t round = 0;
+  std::uint64_t last_index = 0;
+  std::uint64_t confirmed = 0;  // As last sent to b.
+  const auto collect = [&] {
+    for (bool more = true; more;) {
+      const replica_output output = leader.TakeOutput(now);
+      for (const addressed_message& each : output.messages) {
+        const auto* sent = std::get_if<append_request>(&each.message.body);
+        if (sent == nullptr || each.to != "b") continue;
+        round = sent->read_sequence;
+        last_index = sent->previous.index + sent->entries.size();
+        confirmed = sent->confirmed_reading;
+      }
+      more = output.batch.has_value();
+      if (more) leader.OnPersisted(now);
+    }
+  };
+  const auto receive = [&](const std::string& from, replica_message_body body) {
+    leader.OnMessage({.from = {.name = from, .incarnation = 1},
+                      .to_incarnation = 1,
+                      .cluster_id = 1,
+                      .term = leader.Term(),
+                      .body = std::move(body)},
+                     now);
+    collect();
+  };
+  const auto reply = [&](const std::string& from, std::uint64_t reading) {
+    receive(from, append_reply{.accepted = true,
+                               .index = last_index,
+                               .read_sequence = round,
+                               .clock_reading = reading});
+  };
+  const auto next_round = [&] {
+    now += kHeartbeat;
+    leader.OnTick(now);
+    collect();
+  };
+  now += 2 * kElectionTimeout;
+  leader.OnTick(now);
+  collect();
+  for (const bool pre_vote : {true, false}) {
+    for (const std::string from : {"b", "c"}) {
+      receive(from,
+              vote_reply{.pre_vote = pre_vote,
+                         .requested_term = leader.Term() + (pre_vote ? 1U : 0U),
+                         .granted = true});
+    }
+  }
+  BOOST_REQUIRE((leader.Role() == replica_role::kLeader));
+  next_round();
+  reply("c", 1);
+  reply("d", 1);  // The entry of this term is committed.
+  next_round();
+  reply("c", 1);
+  reply("b", kReading);  // A quorum has replied to this round.
+  next_round();
+  BOOST_TEST(confirmed == 0U);
+  reply("b", kReading + 1);
+  next_round();
+  BOOST_TEST(confirmed == 0U);
+  reply("c", 1);
+  reply("d", 1);
+  next_round();
+  BOOST_TEST(confirmed == kReading + 1);
+}
+
 // A leader's followers prove their currency with its heartbeats, without
 // messages of their own.
 BOOST_AUTO_TEST_CASE(connected_replicas_stay_current_and_a_cut_one_does_not) {
--- a/tests/replica_follower_test.cc
+++ b/tests/replica_follower_test.cc
@@ -1,6 +1,8 @@
 // Tests of a follower whose replies do not reach the leader.
 #include <boost/test/unit_test.hpp>
+#include <chrono>
 #include <string>
+#include <variant>
 #include <vector>
 
 #include "base/seeded_random_source.h"
@@ -77,6 +79,52 @@
   BOOST_TEST((Append(core, 5, 5) == names{"4", "5"}));
 }
 
+// Guards against a follower that counts as current while it lacks entries that
+// the leader has committed, and against readings of other processes.
+BOOST_AUTO_TEST_CASE(follower_is_current_once_it_has_all_committed_entries) {
+  seeded_random_source random(1);
+  replica_core core({.name = kFollower.name,
+                     .configured_names = {kLeader.name, kFollower.name}},
+                    MakeState(), random, kStart);
+  const time_point replied_at = kStart + std::chrono::seconds(1);
+  const time_point now = replied_at + std::chrono::seconds(1);
+  std::uint64_t reading = 0;
+  const auto append = [&](time_point at, std::uint64_t last,
+                          std::uint64_t commit_index, std::uint64_t confirmed) {
+    append_request body{.commit_index = commit_index,
+                        .confirmed_reading = confirmed};
+    for (std::uint64_t index = 1; index <= last; ++index) {
+      body.entries.push_back(MakeEntry(index));
+    }
+    core.OnMessage({.from = kLeader,
+                    .to_incarnation = kFollower.incarnation,
+                    .cluster_id = kCluster,
+                    .term = kTerm,
+                    .body = body},
+                   at);
+    for (bool more = true; more;) {
+      const replica_output output = core.TakeOutput(at);
+      for (const addressed_message& each : output.messages) {
+        const auto* reply = std::get_if<append_reply>(&each.message.body);
+        if (reply != nullptr) reading = reply->clock_reading;
+      }
+      more = output.batch.has_value();
+      if (more) core.OnPersisted(at);
+    }
+  };
+  append(replied_at, 1, 1, 0);
+  const std::uint64_t confirmed = reading;
+  BOOST_TEST(confirmed != 0U);
+  append(now, 2, 4, confirmed);
+  BOOST_TEST((core.CurrentAsOf() == time_point::min()));
+  append(now, 4, 4, reading + 1);  // Made by another process.
+  BOOST_TEST((core.CurrentAsOf() == time_point::min()));
+  append(now, 4, 4, 1);
+  BOOST_TEST((core.CurrentAsOf() == time_point::min()));
+  append(now, 4, 4, confirmed);
+  BOOST_TEST((core.CurrentAsOf() == replied_at));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hornbeam
--- a/tests/replica_host_test.cc
+++ b/tests/replica_host_test.cc
@@ -10,6 +10,7 @@
 #include <map>
 #include <mutex>
 #include <optional>
+#include <set>
 #include <thread>
 
 #include "base/event_log.h"
@@ -209,10 +210,11 @@
   BOOST_TEST(group.Host("a").Status().storage_fault == "disk full");
 }
 
-// Three replicas with in-memory disks.
-class three_replicas {
+// Replicas with in-memory disks.
+class replica_set {
  public:
-  three_replicas() {
+  explicit replica_set(std::vector<std::string> names = {"a", "b", "c"})
+      : group_(std::move(names)) {
     for (const std::string& name : group_.Names()) StartWithEmptyDisk(name);
   }
 
@@ -253,14 +255,14 @@
   std::map<std::string, std::shared_ptr<std::atomic<bool>>> full_;
   std::uint64_t last_incarnation_ = 0;
   // Declared last, so that the hosts are destroyed before the disks they use.
-  host_group group_{{"a", "b", "c"}};
+  host_group group_;
 };
 
 // Each round replaces one disk by an empty one and waits until its replica is a
 // voter again. The loss of another disk right afterwards must not lose
 // committed entries.
 BOOST_AUTO_TEST_CASE(second_disk_loss_right_after_repair_loses_no_entries) {
-  three_replicas three;
+  replica_set three;
   host_group& group = three.Group();
   std::string expected;
   const auto propose = [&](int count) {
@@ -291,7 +293,7 @@
 // Guards against a replica that takes no part any more once its disk was full:
 // after the second full disk no change was acknowledged, with room on all.
 BOOST_AUTO_TEST_CASE(replicas_take_part_again_after_their_disks_were_full) {
-  three_replicas three;
+  replica_set three;
   host_group& group = three.Group();
   std::vector<std::string> acknowledged;
   int proposed = 0;
@@ -323,10 +325,54 @@
   }
 }
 
+// Random disks are full at random times, never so many that no quorum is left.
+BOOST_AUTO_TEST_CASE(random_full_disks_lose_no_acknowledged_entry) {
+  constexpr int kSeeds = 10;
+  constexpr int kSteps = 40;
+  for (const std::size_t replicas : {3U, 5U}) {
+    for (int seed = 1; seed <= kSeeds; ++seed) {
+      seeded_random_source random(static_cast<std::uint64_t>(seed));
+      const std::vector<std::string> all = {"a", "b", "c", "d", "e"};
+      replica_set set(
+          {all.begin(), all.begin() + static_cast<std::ptrdiff_t>(replicas)});
+      host_group& group = set.Group();
+      std::vector<std::string> acknowledged;
+      std::set<std::string> full;
+      // A cluster is formed only while all disks work.
+      BOOST_TEST(group.Propose(group.Leader(), "first,").has_value());
+      for (int step = 0; step < kSteps; ++step) {
+        const std::string name = all[random.NextBelow(replicas)];
+        if (full.contains(name)) {
+          set.SetFull(name, false);
+          // Until then it counts as lost.
+          group.RunUntil(
+              [&] { return group.Host(name).Status().storage_fault.empty(); });
+          full.erase(name);
+        } else if (full.size() < (replicas - 1) / 2) {
+          set.SetFull(name, true);
+          full.insert(name);
+        }
+        const std::string command = std::to_string(step) + ",";
+        if (group.Propose(group.Leader(), "x" + command))
+          acknowledged.push_back("x" + command);
+      }
+      for (const std::string& name : full) set.SetFull(name, false);
+      while (!group.Propose(group.Leader(), "last")) {
+      }
+      const std::string state = group.Query(group.Leader()).value();
+      BOOST_TEST(acknowledged.size() > static_cast<std::size_t>(kSteps) / 2);
+      for (const std::string& command : acknowledged) {
+        BOOST_TEST(state.find(command) != std::string::npos,
+                   replicas << " replicas, seed " << seed << ": " << command);
+      }
+    }
+  }
+}
+
 // Replicas with empty disks must not form a new cluster while a configured
 // replica is missing, because that replica may hold committed entries.
 BOOST_AUTO_TEST_CASE(empty_disks_do_not_form_cluster_without_missing_replica) {
-  three_replicas three;
+  replica_set three;
   host_group& group = three.Group();
   BOOST_TEST(group.Propose(group.Leader(), "x").has_value());
   const std::string survivor = group.Leader();
