--- a/tests/replica_currency_test.cc
+++ b/tests/replica_currency_test.cc
@@ -134,7 +134,7 @@
 
   seeded_random_source random_;
   time_point now_{std::chrono::hours(1)};
-  time_point next_proposal_{};
+  time_point next_proposal_;
   std::vector<std::string> names_;
   std::deque<memory_disk> disks_;
   std::deque<replica_core> cores_;
--- a/tests/replica_host_test.cc
+++ b/tests/replica_host_test.cc
@@ -341,7 +341,7 @@
       // A cluster is formed only while all disks work.
       BOOST_TEST(group.Propose(group.Leader(), "first,").has_value());
       for (int step = 0; step < kSteps; ++step) {
-        const std::string name = all[random.NextBelow(replicas)];
+        const std::string& name = all[random.NextBelow(replicas)];
         if (full.contains(name)) {
           set.SetFull(name, false);
           // Until then it counts as lost.
