--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -284,8 +284,7 @@
 
 void control_service::HandleLease(frame_connection& connection,
                                   const lease_renewal& renewal) {
-  // A node without a reply keeps its lease elsewhere; see
-  // DisconnectNodes.
+  // A node without a reply is disconnected soon and renews its lease elsewhere.
   if (!IsCurrent(clock_.Now())) return;
   const bool changed =
       leases_.Renew(renewal, lease_source::kNode, duration(0), clock_.Now());
--- a/src/controllers/replica_host_impl.cc
+++ b/src/controllers/replica_host_impl.cc
@@ -147,12 +147,16 @@
   reopen_delay_ = kFirstReopenDelay;
   if (error.kind != storage_error_kind::kCorrupt)
     reopen_at_ = storage_lost_at_ + reopen_delay_;
+  LogStorageFault();
+  FinishAll(replica_error::kStorageFailed);
+}
+
+void replica_host_impl::LogStorageFault() {
   events_.Write(event_id::kReplicaStorageFailed,
                 {{"store", options_.store_name},
                  {"replica", options_.name},
                  {"reason", storage_fault_},
                  {"reopens", reopen_at_.has_value()}});
-  FinishAll(replica_error::kStorageFailed);
 }
 
 void replica_host_impl::MaybeReopen(time_point now) {
@@ -171,12 +175,7 @@
       reopen_at_ = now + reopen_delay_;
     if (error.detail == storage_fault_) return;
     storage_fault_ = error.detail;
-    events_.Write(event_id::kReplicaStorageFailed,
-                  {{"store", options_.store_name},
-                   {"replica", options_.name},
-                   {"reason", storage_fault_},
-                   {"reopens", reopen_at_.has_value()}});
-    return;
+    return LogStorageFault();
   }
   storage_fault_.clear();
   core_ = std::make_unique<replica_core>(options_, std::move(reopened).value(),
--- a/src/controllers/replica_host_impl.h
+++ b/src/controllers/replica_host_impl.h
@@ -49,6 +49,7 @@
   // Ends this replica's part in the protocol until its storage is reopened; for
   // good if `error` is kCorrupt.
   void LoseStorage(const storage_error& error);
+  void LogStorageFault();
   void MaybeReopen(time_point now);
   void OnReopened(result<recovered_state, storage_error> reopened);
   // Executes the outputs of the core until there are none left.
--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -206,9 +206,11 @@
     return !error;
   }
 
-  // While draining, a request behind one whose answer will close the connection
-  // is not read; the caller sends it again elsewhere.
+  // A request behind the last answer is not read, nor, while draining, one
+  // behind a request whose answer will be the last; the caller sends it again
+  // elsewhere.
   [[nodiscard]] bool TakesRequests() const {
+    if (write_ended_) return false;
     return !draining_ || exchanges_.empty() ||
            (exchanges_.size() == 1 && writing_kept_alive_);
   }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -62,7 +62,8 @@
   virtual void Start(http_handler& handler, fiber_group& fibers) = 0;
 
   // Stops accepting connections, closes idle ones after a short grace period,
-  // and lets each request in progress complete with its answer.
+  // and lets each request in progress complete with its answer. Requests that
+  // callers send behind those are not read.
   virtual void Drain() = 0;
 
   // Returns the bound port.
--- a/tests/http_exchange_test.cc
+++ b/tests/http_exchange_test.cc
@@ -2,7 +2,9 @@
 // client.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <memory>
 #include <string>
+#include <string_view>
 #include <thread>
 #include <utility>
 #include <vector>
@@ -87,6 +89,54 @@
   return received;
 }
 
+constexpr std::string_view kLateRequest =
+    "POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
+
+// One caller of a server that is drained while the caller's request runs.
+class draining_exchange {
+ public:
+  explicit draining_exchange(io_loop& loop)
+      : server_(http_server::MakeHttpServer(loop, "127.0.0.1", 0, {}, clock_)),
+        socket_(loop.context()) {
+    server_->Start(handler_, fibers_);
+    boost::system::error_code error;
+    socket_.async_connect(
+        {boost::asio::ip::address_v4::loopback(), server_->Port()},
+        FiberWait(error));
+  }
+  ~draining_exchange() {
+    boost::system::error_code ignored;
+    socket_.close(ignored);
+    fibers_.WaitEmpty(TestDeadline());
+  }
+  draining_exchange(const draining_exchange&) = delete;
+  draining_exchange& operator=(const draining_exchange&) = delete;
+
+  void StartSlowRequestAndDrain() {
+    Send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
+    while (handler_.handled == 0) io_loop::SleepFor(milliseconds(5));
+    server_->Drain();
+  }
+  void Send(std::string_view bytes) {
+    boost::system::error_code error;
+    boost::asio::async_write(socket_, boost::asio::buffer(bytes),
+                             FiberWait(error));
+  }
+  // Returns all bytes until the server ends the connection.
+  std::string ReadSlowAnswerAndEnd() {
+    handler_.open.Set(true);
+    return SendAndRead(socket_, "", "never sent");
+  }
+  [[nodiscard]] int Handled() const { return handler_.handled; }
+
+ private:
+  const system_clock_source clock_;
+  fiber_group fibers_;
+  counting_handler handler_;
+  std::unique_ptr<http_server> server_;
+  tcp::socket socket_;
+};
+
 std::string Answer(const std::string& id, const std::string& body) {
   return "HTTP/1.1 200 OK\r\nX-Id: " + id +
          "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
@@ -178,31 +228,12 @@
   int handled = 0;
   std::string received;
   RunOnLoop([&](io_loop& loop) {
-    const system_clock_source clock;
-    fiber_group fibers;
-    counting_handler handler;
-    const auto server =
-        http_server::MakeHttpServer(loop, "127.0.0.1", 0, {}, clock);
-    server->Start(handler, fibers);
-    tcp::socket socket(loop.context());
-    boost::system::error_code error;
-    socket.async_connect(
-        {boost::asio::ip::address_v4::loopback(), server->Port()},
-        FiberWait(error));
-    const auto send = [&](const std::string& text) {
-      boost::asio::async_write(socket, boost::asio::buffer(text),
-                               FiberWait(error));
-    };
-    send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
-    while (handler.handled == 0) io_loop::SleepFor(milliseconds(5));
-    server->Drain();
-    send("POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n");
+    draining_exchange exchange(loop);
+    exchange.StartSlowRequestAndDrain();
+    exchange.Send(kLateRequest);
     io_loop::SleepFor(milliseconds(100));
-    handler.open.Set(true);
-    received = SendAndRead(socket, "", "never");
-    handled = handler.handled;
-    socket.close(error);
-    fibers.WaitEmpty(TestDeadline());
+    received = exchange.ReadSlowAnswerAndEnd();
+    handled = exchange.Handled();
   });
   BOOST_TEST(handled == 1);
   BOOST_TEST(received.find("/slow") != std::string::npos);
@@ -210,6 +241,21 @@
   BOOST_TEST(received.find("Connection: close") != std::string::npos);
 }
 
+// Guards against a request that crosses the last answer and runs although its
+// answer cannot be sent any more.
+BOOST_AUTO_TEST_CASE(request_after_last_answer_is_not_taken_during_drain) {
+  int handled = 0;
+  RunOnLoop([&](io_loop& loop) {
+    draining_exchange exchange(loop);
+    exchange.StartSlowRequestAndDrain();
+    exchange.ReadSlowAnswerAndEnd();
+    exchange.Send(kLateRequest);
+    io_loop::SleepFor(milliseconds(100));
+    handled = exchange.Handled();
+  });
+  BOOST_TEST(handled == 1);
+}
+
 BOOST_AUTO_TEST_CASE(disconnected_caller_is_detected_while_its_request_runs) {
   bool noticed = false;
   RunOnLoop([&](io_loop& loop) {
