--- a/review/5/case.cc
+++ b/review/5/case.cc
@@ -97,6 +97,7 @@
   int excused = 0;
   int answered = 0;
   for (const outcome& each : outcomes) {
+    NoteOutcome(each);
     answered += each.status == 200 ? 1 : 0;
     const bool is_of_target =
         !each.answer.Field("x-response-signature").empty();
--- a/review/common/site.h
+++ b/review/common/site.h
@@ -954,6 +954,13 @@
   std::int64_t ended_ms = 0;
 };
 
+// Writes down what became of a request.
+inline void NoteOutcome(const outcome& each) {
+  Note("consumer: request %s sent at %lld ms, ended at %lld ms: %d %s",
+       each.request.c_str(), static_cast<long long>(each.sent_ms),
+       static_cast<long long>(each.ended_ms), each.status, each.why.c_str());
+}
+
 // One consumer with a kept connection to one node.
 class consumer {
  public:
