--- a/src/controllers/replica_host_impl.cc
+++ b/src/controllers/replica_host_impl.cc
@@ -249,6 +249,7 @@
   }
   applied_index_ = snapshot.index;
   snapshot_index_ = snapshot.index;
+  snapshot_bytes_ = snapshot.state.size();
   bytes_since_snapshot_ = 0;
   // The snapshot does not show whether the entries that it covers are the ones
   // proposed at this replica, so their result is unknown.
@@ -291,10 +292,16 @@
 }
 
 void replica_host_impl::MaybeTakeSnapshot() {
-  if (bytes_since_snapshot_ < options_.snapshot_log_bytes) return;
+  // The larger the state, the rarer its snapshots, so that the log written
+  // between two of them is never smaller than the state itself.
+  const std::size_t log_bytes =
+      std::max(options_.snapshot_log_bytes, snapshot_bytes_);
+  if (bytes_since_snapshot_ < log_bytes) return;
+  std::string state = machine_->TakeSnapshot();
   bytes_since_snapshot_ = 0;
   snapshot_index_ = applied_index_;
-  core_->OnSnapshotTaken(applied_index_, machine_->TakeSnapshot());
+  snapshot_bytes_ = state.size();
+  core_->OnSnapshotTaken(applied_index_, std::move(state));
   Advance();
 }
 
--- a/src/controllers/replica_host_impl.h
+++ b/src/controllers/replica_host_impl.h
@@ -76,7 +76,8 @@
   std::uint64_t next_query_ = 1;
   std::uint64_t applied_index_ = 0;
   std::uint64_t snapshot_index_ = 0;
-  std::size_t bytes_since_snapshot_ = 0;
+  std::size_t snapshot_bytes_ = 0;        // Size of the latest snapshot.
+  std::size_t bytes_since_snapshot_ = 0;  // Applied since then.
   bool advancing_ = false;
   bool advance_again_ = false;
   replica_role logged_role_ = replica_role::kUnformed;
--- a/src/replication/replica_core.cc
+++ b/src/replication/replica_core.cc
@@ -349,7 +349,7 @@
                    .accepted_at_us = log_.At(index).accepted_at_us,
                    .membership = log_.MembershipAt(index),
                    .state = std::move(state)});
-  log_.Compact(snapshot, options_.retained_entries);
+  log_.Compact(snapshot, options_.retained);
   persist_.AddSnapshot(std::move(snapshot), false);
 }
 
--- a/src/replication/replica_log.cc
+++ b/src/replication/replica_log.cc
@@ -82,13 +82,26 @@
   while (memberships_.back().index >= index) memberships_.pop_back();
 }
 
+// Returns the lowest index such that the entries from it up to `end` are within
+// `retained`; `end` + 1 if not even the entry at `end` is.
+std::uint64_t replica_log::FirstRetained(std::uint64_t end,
+                                         const log_retention& retained) const {
+  std::uint64_t first = end + 1;
+  std::size_t bytes = 0;
+  while (first > base_.index + 1 && end + 1 - first < retained.entries) {
+    bytes += At(first - 1).command.size();
+    if (bytes > retained.bytes) break;
+    --first;
+  }
+  return first;
+}
+
 void replica_log::Compact(std::shared_ptr<const log_snapshot> snapshot,
-                          std::uint64_t retained_entries) {
+                          const log_retention& retained) {
   snapshot_ = std::move(snapshot);
-  const std::uint64_t end = std::min(snapshot_->index, LastIndex());
-  const std::uint64_t new_base =
-      end > retained_entries ? end - retained_entries : 0;
-  while (base_.index < new_base) {
+  const std::uint64_t first =
+      FirstRetained(std::min(snapshot_->index, LastIndex()), retained);
+  while (base_.index + 1 < first) {
     base_ = {.term = entries_.front().term, .index = entries_.front().index};
     base_accepted_at_us_ = entries_.front().accepted_at_us;
     entries_.pop_front();
--- a/src/replication/replica_log.h
+++ b/src/replication/replica_log.h
@@ -12,6 +12,7 @@
 #include "replication/log_entry.h"
 #include "replication/log_storage.h"
 #include "replication/replica_membership.h"
+#include "replication/replica_options.h"
 
 namespace hornbeam {
 
@@ -63,9 +64,9 @@
     return snapshot_;
   }
   // Sets `snapshot`, taken from this replica's own state, as the latest one and
-  // removes the entries up to its index except the last `retained_entries`.
+  // removes the entries up to its index except the last ones within `retained`.
   void Compact(std::shared_ptr<const log_snapshot> snapshot,
-               std::uint64_t retained_entries);
+               const log_retention& retained);
   // Replaces the whole log with a snapshot.
   void Restore(std::shared_ptr<const log_snapshot> snapshot);
   // Sets the membership at the start of an empty log.
@@ -77,6 +78,9 @@
     replica_membership membership;
   };
 
+  [[nodiscard]] std::uint64_t FirstRetained(
+      std::uint64_t end, const log_retention& retained) const;
+
   log_position base_;
   std::int64_t base_accepted_at_us_ = 0;
   std::deque<log_entry> entries_;
--- a/src/replication/replica_options.h
+++ b/src/replication/replica_options.h
@@ -13,6 +13,12 @@
 // Interval at which replica_core::OnTick should be called.
 constexpr duration kReplicaTickInterval = std::chrono::milliseconds(10);
 
+// Limits on the entries that a log keeps although a snapshot covers them.
+struct log_retention {
+  std::uint64_t entries = 0;
+  std::size_t bytes = 0;  // Of all commands.
+};
+
 // Names, timing and limits of one replica. Timing and limits must be the same
 // on all replicas of a store.
 struct replica_options {
@@ -48,12 +54,12 @@
   std::size_t max_snapshot_chunk_bytes = std::size_t{256} << 10U;
   // Maximum number of waiting proposals and queries.
   std::size_t max_waiting = 16384;
-  // A snapshot is taken once the log has grown by this many bytes since the
-  // previous one.
-  std::size_t snapshot_log_bytes = std::size_t{64} << 20U;
+  // A snapshot is taken once the log has grown since the previous one by this
+  // many bytes, or by the size of the previous snapshot if that is larger.
+  std::size_t snapshot_log_bytes = std::size_t{16} << 20U;
   // Entries retained before the snapshot index, so that a follower that lags
   // slightly needs no snapshot.
-  std::uint64_t retained_entries = 4096;
+  log_retention retained{.entries = 4096, .bytes = std::size_t{8} << 20U};
 };
 
 }  // namespace hornbeam
--- a/tests/replica_host_test.cc
+++ b/tests/replica_host_test.cc
@@ -73,7 +73,7 @@
     transports_[name] = std::make_unique<group_transport>(*this, name);
     replica_options options{.name = name, .configured_names = names_};
     options.snapshot_log_bytes = 16384;
-    options.retained_entries = 4;
+    options.retained.entries = 4;
     options.max_snapshot_chunk_bytes = 16;
     auto made = replica_host::MakeReplicaHost(
         std::move(options),
--- a/tests/support/replica_simulation.cc
+++ b/tests/support/replica_simulation.cc
@@ -124,7 +124,7 @@
   }
   options.max_batch_bytes = 8;  // A few entries per message.
   options.max_snapshot_chunk_bytes = 64;
-  options.retained_entries = 1;
+  options.retained.entries = 1;
   return options;
 }
 
