Large heap blocks go back to the system; test of answers without an end

Operators reported: a faulty upstream sent bytes without an end, the node that had called it ran out of memory, and other callers' requests ended with it.

Tried: endless_answer_process_test sends eight kinds of endless answers to 32 callers beside one caller of short answers. It passes before this change too: the limits on heads, interim answers and bodies hold, and no request was lost.

Found: with a limit of 32 MiB on bodies the node's memory reached 150 MB of the 160 MB of the smallest deployment, since the C library moves larger and larger blocks into the common heap once it has seen them freed.

Fix: the daemons fix the size from which blocks are mapped individually at 1 MiB.

--- a/src/main/hornbeamd.cc
+++ b/src/main/hornbeamd.cc
@@ -4,6 +4,7 @@
 #include <span>
 #include <string>
 
+#include "base/heap_options.h"
 #include "base/spdlog_event_log.h"
 #include "daemon/command_line.h"
 #include "daemon/config_errors.h"
@@ -57,6 +58,7 @@
 }  // namespace hornbeam
 
 int main(int argc, char** argv) {
+  hornbeam::ReturnLargeBlocksToSystem();
   const auto command = hornbeam::ParseDaemonCommandLine(
       std::span<const char* const>(argv, static_cast<std::size_t>(argc)));
   if (!command) {
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -195,7 +195,8 @@
                         "platform_terms = graceS={}\n"
                         "[listen]\npeers = {}\nlocal = {}\n{}"
                         "[control]\naddresses = {}\npeers_port = {}\n"
-                        "[log]\nfile = -\n",
+                        "[log]\nfile = -\n"
+                        "[limits]\nreceiving_body_bytes = 33554432\n",
                         name, service, options_.stop_grace.count(),
                         ports_->NextAddress(), ports_->NextAddress(), addresses,
                         operators_, PortOf(control_peers_)));
