A dropped answer leaves the record that its call ran

Cause: a serving node that was short of memory for answers removed the whole record of the oldest call and answered its status query with "not run".

Fix: the fact that the call ran is kept until its deadline (fate_index), a query is answered with "unknown", and the ingress takes "never seen" for a proof only before the deadline. The newest answer is not dropped before it is sent, and an answer dropped while it is being sent is no longer read.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -37,6 +37,11 @@
     {event_id::kUpstreamLoadChanged, "upstream_load_changed", kInfo,
      "The upstream of this node became slow or recovered, or its limit of "
      "running calls changed."},
+    {event_id::kAnswerDropped, "answer_dropped", kWarning,
+     "The serving node dropped an answer that its ingress has not "
+     "acknowledged, "
+     "to free memory or because it is old; if the call ran, a status query "
+     "until its deadline is answered with \"unknown\"."},
     {event_id::kUpstreamAnnounced, "upstream_announced", kInfo,
      "The upstream of this node announced itself."},
     {event_id::kLeaseRenewalFailed, "lease_renewal_failed", kWarning,
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -28,6 +28,7 @@
   kCallRejected = 2002,
   kCallCancelled = 2003,
   kUpstreamLoadChanged = 2004,
+  kAnswerDropped = 2005,
   // Membership.
   kUpstreamAnnounced = 3001,
   kLeaseRenewalFailed = 3002,
--- a/src/controllers/routed_ingress.cc
+++ b/src/controllers/routed_ingress.cc
@@ -69,6 +69,8 @@
       return "the caller went away";
     case end_reason::kTooLarge:
       return "too large";
+    case end_reason::kForgotten:
+      return "the answer is no longer kept";
     default:
       return "other";
   }
--- a/src/daemon/node_daemon.cc
+++ b/src/daemon/node_daemon.cc
@@ -102,7 +102,7 @@
                     .silence_timeout = settings.limits.peer_silence_timeout,
                     .answer_limit_bytes = settings.limits.response_body_bytes}),
         probes_(clock_, directory_, router_),
-        calls_(clock_, self_, serving_, call_fibers_,
+        calls_(clock_, log, self_, serving_, call_fibers_,
                call_server_options{
                    .body_limit_bytes = settings.limits.request_body_bytes,
                    .answer_store_bytes = settings.limits.response_body_bytes}),
--- a/src/daemon/routed_node_daemon.cc
+++ b/src/daemon/routed_node_daemon.cc
@@ -123,7 +123,7 @@
         ingress_(loop_, clock_, random_, log, self_,
                  settings.process.availability_zone, codec, directory_, server_,
                  MakeIngressOptions(settings, terms_)),
-        calls_(clock_, self_, server_, call_fibers_,
+        calls_(clock_, log, self_, server_, call_fibers_,
                call_server_options{
                    .body_limit_bytes = settings.limits.request_body_bytes,
                    .answer_store_bytes = settings.limits.response_body_bytes}),
--- a/src/wire/call_link.cc
+++ b/src/wire/call_link.cc
@@ -31,6 +31,7 @@
 struct call_link::pending_call {
   request_id id;
   std::uint64_t incarnation = 0;  // Of the addressed serving node.
+  time_point deadline;
   // Set for a fence, which is sent again instead of a status query.
   const attempt_fence* fence = nullptr;
   // Number of the connection on which the call was sent.
@@ -101,6 +102,7 @@
   pending_call call{
       .id = start.id,
       .incarnation = start.incarnation,
+      .deadline = deadline,
       .cancel_at_deadline = !start.attempt.has_value(),
       .may_run_elsewhere = !start.attempt.has_value() &&
                            (start.route.empty() || start.idempotent)};
@@ -138,6 +140,7 @@
 call_result call_link::Fence(const attempt_fence& fence, time_point deadline) {
   pending_call call{.id = fence.id,
                     .incarnation = fence.incarnation,
+                    .deadline = deadline,
                     .fence = &fence,
                     .cancel_at_deadline = false,
                     .may_run_elsewhere = false};
@@ -333,6 +336,15 @@
     Finish(*call, outcome::kUnknown, end_reason::kTooLarge);
     return;
   }
+  // The serving node knows what became of a call until its deadline. If this
+  // process stood still, "never seen" may come after that and proves nothing.
+  const bool is_late_proof = call->fence == nullptr &&
+                             end.reason == end_reason::kFenced &&
+                             clock_.Now() >= call->deadline;
+  if (is_late_proof) {
+    Finish(*call, outcome::kUnknown, end_reason::kDeadlinePassed);
+    return;
+  }
   call->status_queried_at.reset();
   call->dispatch_result.end = std::move(end);
   call->dispatch_result.body.clear();
--- a/src/wire/call_server.cc
+++ b/src/wire/call_server.cc
@@ -4,6 +4,7 @@
 #include <ranges>
 #include <utility>
 
+#include "base/event_log.h"
 #include "io/fiber_group.h"
 #include "wire/frame_codec.h"
 
@@ -15,6 +16,9 @@
 // been complete for longer than this.
 constexpr duration kAckTimeout = std::chrono::seconds(2);
 
+// Added to a call's deadline for clocks that run at different rates.
+constexpr duration kDeadlineMargin = std::chrono::seconds(1);
+
 enum class call_stage : std::uint8_t { kReceiving, kRunning, kDone };
 
 std::string SenderKey(const hello& peer_hello) {
@@ -32,11 +36,24 @@
 struct call_server::call_record {
   inbound_call call;
   call_stage stage = call_stage::kReceiving;
-  served_call served;
+  call_end end;
+  // Shared with the fiber that sends it, since it may be dropped meanwhile;
+  // null once it was dropped.
+  std::shared_ptr<const std::string> answer_body;
   time_point done_at;
   std::weak_ptr<frame_connection> reply_connection;
 };
 
+// Makes `served` the result of the call.
+void call_server::CompleteWith(call_record& record, served_call served) {
+  record.end = std::move(served.end);
+  record.end.id = record.call.start.id;
+  record.end.body_size = served.body.size();
+  record.answer_body =
+      std::make_shared<const std::string>(std::move(served.body));
+  record.stage = call_stage::kDone;
+}
+
 // One accepted connection.
 class call_server::session final : public frame_handler {
  public:
@@ -90,11 +107,12 @@
   std::string ingress_;
 };
 
-call_server::call_server(const clock_source& clock,
+call_server::call_server(const clock_source& clock, event_log& log,
                          const process_identity& self, call_service& service,
                          fiber_group& fibers,
                          const call_server_options& options)
     : clock_(clock),
+      log_(log),
       self_(self),
       service_(service),
       fibers_(fibers),
@@ -156,6 +174,11 @@
         MakeEnd(id, outcome::kNotRun, end_reason::kWrongIncarnation));
     return;
   }
+  fates_.RemoveExpired(clock_.Now());
+  if (calls_.size() + fates_.Size() >= options_.record_limit) {
+    connection.Send(MakeEnd(id, outcome::kNotRun, end_reason::kQueueFull));
+    return;
+  }
   auto record = std::make_shared<call_record>();
   record->call.deadline =
       clock_.Now() + std::chrono::microseconds(start.deadline_us);
@@ -185,13 +208,10 @@
 void call_server::Run(const std::shared_ptr<call_record>& record) {
   record->stage = call_stage::kRunning;
   fibers_.Start([this, record] {
-    record->served = service_.Serve(record->call);
-    record->served.end.id = record->call.start.id;
-    record->served.end.body_size = record->served.body.size();
-    record->stage = call_stage::kDone;
+    CompleteWith(*record, service_.Serve(record->call));
     record->done_at = clock_.Now();
     record->call.body = std::string();
-    retained_bytes_ += record->served.body.size();
+    retained_bytes_ += record->answer_body->size();
     retained_answers_.push_back(record);
     TrimAnswers();
     Deliver(record);
@@ -200,19 +220,24 @@
 
 void call_server::Deliver(const std::shared_ptr<call_record>& record) {
   const auto connection = record->reply_connection.lock();
-  if (!connection || !connection->Send(record->served.end)) return;
-  const std::string_view body = record->served.body;
-  for (std::size_t offset = 0; offset < body.size();
+  if (!connection || !connection->Send(record->end)) return;
+  for (std::size_t offset = 0; offset < record->end.body_size;
        offset += kBodyChunkBytes) {
-    const std::string_view part = body.substr(offset, kBodyChunkBytes);
-    if (!connection->Send(
-            body_chunk{record->call.start.id, offset, std::string(part)})) {
+    // May be dropped whenever Send waits.
+    const auto body = record->answer_body;
+    if (!body) {
+      connection->Send(MakeEnd(record->call.start.id, outcome::kUnknown,
+                               end_reason::kForgotten));
+      return;
+    }
+    if (!connection->Send(body_chunk{record->call.start.id, offset,
+                                     body->substr(offset, kBodyChunkBytes)})) {
       return;
     }
   }
   // A rejection needs no record: a later status query gives the same outcome,
   // kNotRun.
-  if (record->served.end.call_outcome == outcome::kNotRun) {
+  if (record->end.call_outcome == outcome::kNotRun) {
     Forget(record->call.start.id);
   }
 }
@@ -225,6 +250,11 @@
     return;
   }
   const auto record = Find(query.id);
+  if (!record && fates_.Contains(query.id)) {
+    connection.Send(
+        MakeEnd(query.id, outcome::kUnknown, end_reason::kForgotten));
+    return;
+  }
   if (!record) {
     // The connection that carried the call is closed, so the call can no longer
     // arrive.
@@ -242,14 +272,10 @@
 void call_server::AnswerFence(frame_connection& connection,
                               const attempt_fence& fence) {
   fibers_.Start([this, fence, weak = connection.weak_from_this()] {
-    served_call served = service_.Fence(fence);
-    served.end.id = fence.id;
-    served.end.body_size = served.body.size();
     auto record = std::make_shared<call_record>();
     record->call.start.id = fence.id;
-    record->stage = call_stage::kDone;
-    record->served = std::move(served);
     record->reply_connection = weak;
+    CompleteWith(*record, service_.Fence(fence));
     Deliver(record);
   });
 }
@@ -259,22 +285,40 @@
 }
 
 void call_server::Forget(const request_id& id) {
+  fates_.Erase(id);
   const auto record = Find(id);
   if (!record || record->stage != call_stage::kDone) return;
-  retained_bytes_ -= record->served.body.size();
-  record->served.body = std::string();
+  retained_bytes_ -= record->answer_body->size();
+  record->answer_body.reset();
   calls_.erase(id);
 }
 
+void call_server::DropAnswer(const call_record& record) {
+  const request_id id = record.call.start.id;
+  const time_point now = clock_.Now();
+  const bool may_have_run = record.end.call_outcome != outcome::kNotRun;
+  log_.Write(event_id::kAnswerDropped,
+             {{"call", id.ToString()},
+              {"ingress", record.call.ingress},
+              {"ran", may_have_run},
+              {"bytes", record.end.body_size},
+              {"age_ms", (now - record.done_at).count() / 1000},
+              {"kept_bytes", retained_bytes_}});
+  const time_point keep_until = record.call.deadline + kDeadlineMargin;
+  Forget(id);
+  if (may_have_run && keep_until > now) fates_.Add(id, keep_until);
+}
+
 void call_server::TrimAnswers() {
   const time_point oldest = clock_.Now() - options_.answer_store_time;
   while (!retained_answers_.empty()) {
     const auto record = retained_answers_.front().lock();
-    const bool keep = record &&
-                      retained_bytes_ <= options_.answer_store_bytes &&
-                      record->done_at >= oldest;
+    // The newest answer is about to be sent, whatever its size.
+    const bool fits = retained_bytes_ <= options_.answer_store_bytes ||
+                      retained_answers_.size() == 1;
+    const bool keep = record && fits && record->done_at >= oldest;
     if (keep) return;
-    if (record) Forget(record->call.start.id);
+    if (record && record->answer_body) DropAnswer(*record);
     retained_answers_.pop_front();
   }
 }
--- a/tests/call_link_test.cc
+++ b/tests/call_link_test.cc
@@ -13,10 +13,10 @@
 
 // Runs `body` with a fixture on a separate thread.
 template <class Body>
-void WithFixture(Body body) {
-  std::thread thread([&body] {
+void WithFixture(Body body, const call_server_options& options = {}) {
+  std::thread thread([&body, &options] {
     io_loop loop;
-    call_fixture fixture(loop);
+    call_fixture fixture(loop, options);
     body(fixture);
   });
   thread.join();
@@ -88,6 +88,92 @@
   });
 }
 
+// Guards against a call that runs twice: its answer was dropped to free memory,
+// and a status query was then answered as if it had never arrived.
+BOOST_AUTO_TEST_CASE(call_whose_answer_was_dropped_is_not_reported_not_run) {
+  WithFixture(
+      [](call_fixture& fixture) {
+        fixture.service.on_serve = [&fixture](const inbound_call& /*call*/) {
+          fixture.WaitFor([&fixture] { return fixture.released; });
+        };
+        call_result first;
+        call_result second;
+        fixture.StartCall("/first", first);
+        fixture.StartCall("/second", second);
+        BOOST_TEST(
+            fixture.WaitFor([&fixture] { return fixture.service.runs == 2; }));
+        fixture.relay->SilenceOpenConnections();
+        fixture.released = true;
+        // Only one of the two answers fits.
+        BOOST_TEST(fixture.WaitFor([&] {
+          return first.end.reason == end_reason::kForgotten &&
+                 !second.body.empty();
+        }));
+        BOOST_TEST((first.end.call_outcome == outcome::kUnknown));
+        BOOST_TEST(second.body == "/second");
+        BOOST_TEST(fixture.service.runs == 2);
+      },
+      {.answer_store_bytes = 8});
+}
+
+// Guards against a read of an answer that is dropped while it is being sent,
+// and against an answer that is dropped before it was sent at all.
+BOOST_AUTO_TEST_CASE(answer_above_the_store_limit_is_delivered_or_unknown) {
+  constexpr std::size_t kAnswerBytes = std::size_t{8} << 20U;
+  WithFixture(
+      [](call_fixture& fixture) {
+        fixture.service.answer_body = [](const inbound_call& call) {
+          return std::string(kAnswerBytes, call.start.target.back());
+        };
+        BOOST_TEST(fixture.Call("/a").body == std::string(kAnswerBytes, 'a'));
+        call_result first;
+        call_result second;
+        first.end.reason = second.end.reason = end_reason::kQueueFull;
+        fixture.StartCall("/b", first);
+        fixture.StartCall("/c", second);
+        BOOST_TEST(fixture.WaitFor([&] {
+          return first.end.reason != end_reason::kQueueFull &&
+                 second.end.reason != end_reason::kQueueFull;
+        }));
+        BOOST_TEST((first.body == std::string(kAnswerBytes, 'b') ||
+                    first.end.reason == end_reason::kForgotten));
+        BOOST_TEST((second.body == std::string(kAnswerBytes, 'c')));
+      },
+      {.answer_store_bytes = 1});
+}
+
+// Guards against the proof of an ingress that stood still: the serving node may
+// no longer know a call after its deadline.
+BOOST_AUTO_TEST_CASE(proof_that_arrives_after_the_deadline_is_not_taken) {
+  WithFixture([](call_fixture& fixture) {
+    BOOST_TEST(fixture.Call("/first").body == "/first");
+    fixture.relay->SilenceOpenConnections();
+    // The connection is replaced 200 ms after the last byte.
+    const call_result late =
+        fixture.Call("/late", "", std::chrono::milliseconds(100));
+    BOOST_TEST((late.end.call_outcome == outcome::kUnknown));
+    BOOST_TEST((late.end.reason == end_reason::kDeadlinePassed));
+  });
+}
+
+BOOST_AUTO_TEST_CASE(server_rejects_calls_rather_than_forget_one_that_ran) {
+  WithFixture(
+      [](call_fixture& fixture) {
+        fixture.HoldCalls("/filing");
+        call_result filing;
+        fixture.StartCall("/filing", filing);
+        BOOST_TEST(
+            fixture.WaitFor([&fixture] { return fixture.service.runs == 1; }));
+        const call_result rejected = fixture.Call("/next");
+        BOOST_TEST((rejected.end.call_outcome == outcome::kNotRun));
+        BOOST_TEST((rejected.end.reason == end_reason::kQueueFull));
+        fixture.released = true;
+        BOOST_TEST(fixture.WaitFor([&filing] { return !filing.body.empty(); }));
+        BOOST_TEST(fixture.Call("/later").body == "/later");
+      },
+      {.record_limit = 1});
+}
+
 BOOST_AUTO_TEST_CASE(restarted_server_reports_call_as_unknown) {
   WithFixture([](call_fixture& fixture) {
     fixture.HoldCalls("/filing");
--- a/tests/support/call_fixture.cc
+++ b/tests/support/call_fixture.cc
@@ -12,7 +12,8 @@
 
 }  // namespace
 
-call_fixture::call_fixture(io_loop& loop) : loop_(loop) {
+call_fixture::call_fixture(io_loop& loop, const call_server_options& options)
+    : loop_(loop), server_options_(options) {
   StartServer(kServerIncarnation, 0);
   relay = silent_relay::MakeSilentRelay("127.0.0.1:0",
                                         listener_->Address().ToString());
@@ -34,8 +35,8 @@
 
 void call_fixture::StartServer(std::uint64_t incarnation, std::uint16_t port) {
   server_ = std::make_unique<call_server>(
-      clock, process_identity{"server", incarnation}, service, fibers,
-      call_server_options{});
+      clock, log_, process_identity{"server", incarnation}, service, fibers,
+      server_options_);
   listener_ = frame_listener::MakeFrameListener(
       loop_, endpoint{"127.0.0.1", port}, clock);
   listener_->Start(*server_, fibers);
--- a/tests/support/call_fixture.h
+++ b/tests/support/call_fixture.h
@@ -57,7 +57,7 @@
  public:
   static constexpr std::uint64_t kServerIncarnation = 7;
 
-  explicit call_fixture(io_loop& loop);
+  explicit call_fixture(io_loop& loop, const call_server_options& options = {});
   ~call_fixture();
   call_fixture(const call_fixture&) = delete;
   call_fixture& operator=(const call_fixture&) = delete;
@@ -86,6 +86,7 @@
   void StartServer(std::uint64_t incarnation, std::uint16_t port);
 
   io_loop& loop_;
+  const call_server_options server_options_;
   null_event_log log_;
   std::unique_ptr<call_server> server_;
   std::unique_ptr<frame_listener> listener_;
