A late announcement of an earlier incarnation does not end a leave

Cause: an announcement of an earlier start was accepted if its instance answered the health checks, but these name only the id, which two incarnations can share.

Fix: among incarnations of one id the start time decides; an earlier one's announcement or leave is rejected, not acknowledged. The latest leave is remembered, also if the upstream was not known.

--- a/src/controllers/instance_handler.cc
+++ b/src/controllers/instance_handler.cc
@@ -36,17 +36,22 @@
   if (std::holds_alternative<readiness_check>(node_message)) {
     return codec_.WriteReadiness(is_ready_());
   }
-  if (const auto* announced =
-          std::get_if<instance_announcement>(&node_message)) {
-    if (const auto reason = server_.RejectionReason(*announced)) {
-      const codec_error error{.reason = std::string(*reason)};
-      log_.Write(event_id::kAnnouncementRejected,
-                 {{"target", request.target}, {"reason", error.reason}});
-      return codec_.WriteError(error);
-    }
+  const auto* announced = std::get_if<instance_announcement>(&node_message);
+  const auto* withdrawn = std::get_if<instance_withdrawal>(&node_message);
+  // What is not applied is not acknowledged either.
+  const auto reason = announced != nullptr
+                          ? server_.RejectionReason(*announced)
+                          : server_.RejectionReason(*withdrawn);
+  if (reason) {
+    const codec_error error{.reason = std::string(*reason)};
+    log_.Write(event_id::kAnnouncementRejected,
+               {{"target", request.target}, {"reason", error.reason}});
+    return codec_.WriteError(error);
+  }
+  if (announced != nullptr) {
     server_.Announce(*announced);
   } else {
-    server_.Withdraw(std::get<instance_withdrawal>(node_message));
+    server_.Withdraw(*withdrawn);
   }
   return codec_.WriteAcknowledgement();
 }
--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -36,6 +36,8 @@
 // lease and load report.
 constexpr std::size_t kMaxNameBytes = 256;
 constexpr std::size_t kHealthAnswerBytes = 64UL * 1024;
+constexpr std::string_view kEarlierIncarnation =
+    "it is of an earlier incarnation of this instance";
 // Minimum time between two updates of the waiting calls.
 constexpr duration kMinAdvanceInterval = std::chrono::milliseconds(2);
 
@@ -74,6 +76,20 @@
 
 // ---- Announcements of the upstream ----
 
+std::optional<std::string_view> instance_server::RejectionReason(
+    const instance_withdrawal& withdrawn) const {
+  if (IsEarlierIncarnation(withdrawn.instance, withdrawn.started_at_ms))
+    return kEarlierIncarnation;
+  return std::nullopt;
+}
+
+bool instance_server::IsEarlierIncarnation(std::string_view instance,
+                                           std::int64_t started_at_ms) const {
+  return upstream_ && upstream_->announced.instance == instance &&
+         started_at_ms != 0 &&
+         started_at_ms < upstream_->announced.started_at_ms;
+}
+
 std::optional<std::string_view> instance_server::RejectionReason(
     const instance_announcement& announced) const {
   if (announced.instance.empty() || announced.instance.size() > kMaxNameBytes)
@@ -89,11 +105,21 @@
                         (options_.is_known_service &&
                          options_.is_known_service(announced.service));
   if (!is_known) return "the service is unknown";
+  if (IsEarlierIncarnation(announced.instance, announced.started_at_ms))
+    return kEarlierIncarnation;
   return std::nullopt;
 }
 
 void instance_server::Announce(const instance_announcement& announced) {
   if (RejectionReason(announced)) return;
+  if (IsStale(announced)) {
+    log_.Write(event_id::kAnnouncementRejected,
+               {{"instance", announced.instance},
+                {"started_at_ms", announced.started_at_ms},
+                {"sequence", announced.sequence},
+                {"reason", "a later incarnation is known, or it has left"}});
+    return;
+  }
   const bool is_same_id =
       upstream_ && upstream_->announced.instance == announced.instance;
   const bool is_first_announcement =
@@ -102,13 +128,6 @@
                                       upstream_->announced.started_at_ms ==
                                           announced.started_at_ms);
   if (!is_same) {
-    // An announcement of an earlier incarnation is stale, unless that
-    // incarnation answers the health checks: then the later announcement was
-    // wrong.
-    if (upstream_ && upstream_->answering_instance != announced.instance &&
-        announced.started_at_ms < upstream_->announced.started_at_ms) {
-      return;
-    }
     ReplaceUpstream(announced);
     return;
   }
@@ -121,6 +140,18 @@
   if (drains) DrainUpstream(*upstream_);
 }
 
+// An incarnation of another id that started earlier is stale unless it answers
+// the health checks: then the later announcement was wrong.
+bool instance_server::IsStale(const instance_announcement& announced) const {
+  const bool has_left = withdrawn_ &&
+                        withdrawn_->instance == announced.instance &&
+                        announced.started_at_ms <= withdrawn_->started_at_ms;
+  if (has_left) return true;
+  if (!upstream_) return false;
+  return announced.started_at_ms < upstream_->announced.started_at_ms &&
+         upstream_->answering_instance != announced.instance;
+}
+
 void instance_server::ReplaceUpstream(const instance_announcement& announced) {
   const auto address = endpoint::Parse(announced.address);
   if (!address) return;
@@ -160,6 +191,11 @@
 }
 
 void instance_server::Withdraw(const instance_withdrawal& withdrawn) {
+  if (RejectionReason(withdrawn)) return;
+  const bool is_newer_leave =
+      !withdrawn_ || withdrawn_->instance != withdrawn.instance ||
+      withdrawn_->started_at_ms < withdrawn.started_at_ms;
+  if (is_newer_leave) withdrawn_ = withdrawn;
   const bool is_known =
       upstream_ && upstream_->announced.instance == withdrawn.instance &&
       (withdrawn.started_at_ms == 0 ||
--- a/src/controllers/instance_server.h
+++ b/src/controllers/instance_server.h
@@ -56,9 +56,13 @@
   void Stop();
 
   // Returns why an announcement names no upstream that this node can use;
-  // std::nullopt if it names one.
+  // std::nullopt if it names one. Ids repeat across incarnations, so of two
+  // incarnations with one id the later start decides.
   [[nodiscard]] std::optional<std::string_view> RejectionReason(
       const instance_announcement& announced) const;
+  // Returns why a withdrawal does not apply to this node's upstream.
+  [[nodiscard]] std::optional<std::string_view> RejectionReason(
+      const instance_withdrawal& withdrawn) const;
   // Applies an announcement or a withdrawal of the upstream. Ignores one that
   // is older than the known state or names no usable upstream.
   void Announce(const instance_announcement& announced);
@@ -90,6 +94,11 @@
       const endpoint& address);
   void FindUpstream();
   void AdvanceLoop();
+  [[nodiscard]] bool IsEarlierIncarnation(std::string_view instance,
+                                          std::int64_t started_at_ms) const;
+  // Returns whether `announced` is of an incarnation that is not the newest, or
+  // has left.
+  [[nodiscard]] bool IsStale(const instance_announcement& announced) const;
   void ReplaceUpstream(const instance_announcement& announced);
   void DrainUpstream(upstream_lifecycle& upstream);
   [[nodiscard]] load_report Report();
@@ -103,6 +112,8 @@
   fiber_group* fibers_ = nullptr;
   std::function<void(const instance_announcement&, bool)> on_change_;
   std::string health_path_ = "/health";
+  // The latest leave, also of an upstream that was not known then.
+  std::optional<instance_withdrawal> withdrawn_;
   std::shared_ptr<upstream_lifecycle> upstream_;
   std::uint64_t report_sequence_ = 0;
   std::size_t running_ = 0;
--- a/tests/instance_server_test.cc
+++ b/tests/instance_server_test.cc
@@ -151,6 +151,40 @@
   });
 }
 
+// Guards against a late announcement of an earlier incarnation with the same id
+// that puts a leaving upstream back in service.
+BOOST_AUTO_TEST_CASE(late_announcement_with_same_id_does_not_end_a_leave) {
+  const auto healthy =
+      Always("200 OK", "X-Response-Signature: s\r\nX-Instance-Id: i-1\r\n");
+  RunWith(healthy, [](server_fixture& fixture) {
+    fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
+    fixture.server.Announce(fixture.Announcement("i-1", 200, 1));
+    // The health check names the instance that answers.
+    io_loop::SleepFor(std::chrono::milliseconds(600));
+    fixture.server.Withdraw({.instance = "i-1", .started_at_ms = 200});
+    BOOST_TEST((fixture.Call("i-1").end.reason == end_reason::kDraining));
+    fixture.server.Announce(fixture.Announcement("i-1", 100, 9));
+    BOOST_TEST((fixture.Call("i-1").end.reason == end_reason::kDraining));
+    fixture.server.Announce(fixture.Announcement("i-1", 200, 9));
+    BOOST_TEST((fixture.Call("i-1").end.reason == end_reason::kDraining));
+    fixture.server.Announce(fixture.Announcement("i-1", 300, 1));
+    BOOST_TEST((fixture.Call("i-1").end.call_outcome == outcome::kAnswered));
+  });
+}
+
+// Guards against a node that was restarted and acknowledged the leave of an
+// upstream that it did not know yet.
+BOOST_AUTO_TEST_CASE(late_announcement_after_the_leave_of_an_unknown_upstream) {
+  RunWith(Always("200 OK"), [](server_fixture& fixture) {
+    fixture.server.Withdraw({.instance = "i-1", .started_at_ms = 200});
+    fixture.server.Announce(fixture.Announcement("i-1", 200, 9));
+    fixture.server.Announce(fixture.Announcement("i-1", 100, 9));
+    BOOST_TEST((fixture.Call("i-1").end.call_outcome == outcome::kNotRun));
+    fixture.server.Announce(fixture.Announcement("i-1", 300, 1));
+    BOOST_TEST((fixture.Call("i-1").end.call_outcome == outcome::kAnswered));
+  });
+}
+
 // After a restart of the node alone the upstream's next announcement may be a
 // second away, so the node finds the upstream by its health check.
 // Guards against an odd announcement of another writer that replaces the
