--- a/tests/control_memory_process_test.cc
+++ b/tests/platform_control_memory_process_test.cc
@@ -36,7 +36,7 @@
 
 }  // namespace
 
-BOOST_AUTO_TEST_SUITE(control_memory_process_test)
+BOOST_AUTO_TEST_SUITE(platform_control_memory_process_test)
 
 // Guards against a replicated log that keeps every large entry in memory: the
 // platform ends the control VM when it exceeds its memory.
--- a/tests/endless_answer_process_test.cc
+++ b/tests/platform_endless_answer_process_test.cc
@@ -78,7 +78,7 @@
 
 }  // namespace
 
-BOOST_AUTO_TEST_SUITE(endless_answer_process_test)
+BOOST_AUTO_TEST_SUITE(platform_endless_answer_process_test)
 
 // Guards against a node that keeps an answer without an end until its platform
 // ends it, and with it the requests of other callers.
