An answer with a status that HTTP does not define is no answer

The product's own interface passed it on as well, and the ledger recorded it as the answer of the operation.

Cause: the parser library takes every status of three digits, and nothing else checked it. RFC 9110, section 15, defines 100 to 599. Status 000 counted as a success below 300; its X-Not-Executed was taken as proof that the call did not run and its X-Instance-Load as the upstream's load, in health checks too. Without a length such an answer was waited for until the deadline, and its connection was used again.

Fix: src/base/answer_rules says which status and fields an answer may have. The HTTP client, which both decision stacks and the health checks use, applies it as soon as the head is read: the call ends as malformed at once, which closes the connection, counts against the upstream and leaves the outcome unknown.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -11,6 +11,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/answer_rules.h"
 #include "http/body_memory.h"
 #include "io/cancel_source.h"
 #include "io/fiber_token.h"
@@ -85,6 +86,17 @@
   return response;
 }
 
+// Returns whether the head that was read may belong to an interim or a final
+// answer. The parser takes every status of three digits.
+bool IsValidHead(const http::response<http::string_body>& answer) {
+  const unsigned status = answer.result_int();
+  return (IsInterimStatus(status) || IsFinalStatus(status)) &&
+         std::ranges::none_of(answer, [](const auto& field) {
+           return FindFieldDefect(field.name_string(), field.value())
+               .has_value();
+         });
+}
+
 // An open idle connection has nothing to read. Pending bytes or an error mean
 // that it was closed or is out of step.
 bool IsStillOpen(tcp::socket& socket) {
@@ -192,15 +204,21 @@
   using answer_parser = http::response_parser<http::string_body>;
 
   // Reads one answer within the limit on all bodies that are being received.
+  // Fails as soon as its head is known to be invalid.
   boost::system::error_code ReadAnswer(open_connection& connection,
                                        answer_parser& parser) {
     boost::system::error_code error;
     body_memory::claim body(body_memory_);
+    bool head_checked = false;
     // Parses the head and the body that arrived with it in one step.
     parser.eager(true);
     while (!error && !parser.is_done()) {
       http::async_read_some(connection.stream, connection.buffer, parser,
                             FiberWait(error));
+      if (!error && !head_checked && parser.is_header_done()) {
+        head_checked = true;
+        if (!IsValidHead(parser.get())) error = http::error::bad_status;
+      }
       if (!body.Grow(parser.get().body().size()))
         error = http::error::body_limit;
     }
--- /dev/null
+++ b/tests/broken_answer_process_test.cc
@@ -0,0 +1,160 @@
+// Upstream that sends answers that HTTP does not allow. None of them may reach
+// a caller, and none may be waited for until the deadline.
+#include <fmt/format.h>
+
+#include <boost/asio/buffer.hpp>
+#include <boost/asio/write.hpp>
+#include <boost/test/unit_test.hpp>
+#include <chrono>
+#include <mutex>
+#include <set>
+#include <string>
+#include <string_view>
+#include <vector>
+
+#include "support/platform_site.h"
+
+namespace hornbeam {
+
+namespace {
+
+using boost::asio::ip::tcp;
+using std::chrono::steady_clock;
+
+constexpr int kOk = 200;
+constexpr int kBadGateway = 502;
+// A broken answer ends its call at once; the route's timeout is 4 s.
+constexpr std::chrono::milliseconds kPromptly{1000};
+constexpr std::string_view kTargetStart = "/history/shape/";
+constexpr std::string_view kPlaceOfId = "{id}";
+
+std::string ValueOf(const std::string& head, const std::string& name) {
+  const std::size_t start = head.find("\r\n" + name + ": ");
+  if (start == std::string::npos) return {};
+  const std::size_t value = start + name.size() + 4;
+  return head.substr(value, head.find("\r\n", value) - value);
+}
+
+// Returns an answer with the body "body". `fields` are complete lines.
+std::string MakeAnswer(const std::string& status, const std::string& fields) {
+  return "HTTP/1.1 " + status + "\r\nX-Request-Id: " + std::string(kPlaceOfId) +
+         "\r\nX-Response-Signature: s\r\n" + fields + "\r\nbody";
+}
+
+std::string WithStatus(const std::string& status) {
+  return MakeAnswer(status, "Content-Length: 4\r\n");
+}
+
+// Sends the shape that the target names, and records whether a connection is
+// used again after it.
+class shape_upstream {
+ public:
+  explicit shape_upstream(std::vector<std::string> shapes)
+      : shapes_(std::move(shapes)) {}
+
+  bool Serve(tcp::socket& socket, const std::string& head) {
+    const std::size_t start = head.find(kTargetStart);
+    const auto peer = socket.remote_endpoint();
+    const std::scoped_lock lock(mutex_);
+    if (used_.contains(peer)) ++reused_;
+    if (start == std::string::npos)
+      return WriteUpstreamAnswer(socket, head, "history");
+    ++runs_;
+    used_.insert(peer);
+    std::string answer =
+        shapes_.at(std::stoul(head.substr(start + kTargetStart.size())));
+    const std::size_t id = answer.find(kPlaceOfId);
+    if (id != std::string::npos)
+      answer.replace(id, kPlaceOfId.size(), ValueOf(head, "X-Request-Id"));
+    boost::system::error_code error;
+    boost::asio::write(socket, boost::asio::buffer(answer), error);
+    return !error;
+  }
+
+  // Returns how many requests came on a connection that had carried a shape.
+  [[nodiscard]] int Reused() const { return reused_; }
+  [[nodiscard]] int Runs() const { return runs_; }
+
+ private:
+  const std::vector<std::string> shapes_;
+  std::mutex mutex_;
+  std::set<tcp::endpoint> used_;
+  int reused_ = 0;
+  int runs_ = 0;
+};
+
+std::string CallFields(const std::string& id) {
+  return "Host: history.example\r\nX-Request-Id: " + id +
+         "\r\nX-Deadline-Ms: 3500\r\n";
+}
+
+std::unique_ptr<platform_site> StartSite(shape_upstream& upstream,
+                                         const std::string& kind) {
+  platform_site_options options;
+  options.route_kind = kind;
+  auto site = platform_site::MakePlatformSite(
+      options, [&upstream](tcp::socket& socket, const std::string& head) {
+        return upstream.Serve(socket, head);
+      });
+  BOOST_REQUIRE(site);
+  return site;
+}
+
+// Checks that no caller gets one of `shapes`, that each call ends promptly,
+// runs at most once and closes the upstream's connection, and that the next
+// call is served. `kind` is the route's.
+void CheckBroken(const std::vector<std::string>& shapes,
+                 const std::string& kind) {
+  shape_upstream upstream(shapes);
+  const auto site = StartSite(upstream, kind);
+  for (const std::string& callers : {site->Callers(), site->ServingCallers()}) {
+    for (std::size_t i = 0; i < shapes.size(); ++i) {
+      const std::string id = fmt::format("{}-{}", callers, i);
+      const auto started = steady_clock::now();
+      const int runs = upstream.Runs();
+      const platform_answer answer = platform_connection(callers).Call(
+          "GET", fmt::format("{}{}", kTargetStart, i), CallFields(id));
+      const auto took = steady_clock::now() - started;
+      const std::string shape = kind + ": " + shapes[i];
+      BOOST_TEST(!answer.IsOfUpstream(), shape << answer.head);
+      BOOST_TEST(answer.body.find("body") == std::string::npos, shape);
+      // What may run again ends with a refusal when no other upstream is left.
+      BOOST_TEST((answer.status == kBadGateway ||
+                  (kind == "safe" && answer.status == 503)),
+                 shape << answer.head);
+      BOOST_TEST((took < kPromptly), shape);
+      BOOST_TEST(upstream.Runs() == runs + 1, shape);
+      const platform_answer next = platform_connection(callers).Call(
+          "GET", "/history/next", CallFields(id + "-next"));
+      BOOST_TEST(next.status == kOk, shape);
+      BOOST_TEST(next.body == "history", shape);
+    }
+  }
+  BOOST_TEST(upstream.Reused() == 0);
+}
+
+}  // namespace
+
+BOOST_AUTO_TEST_SUITE(broken_answer_process_test)
+
+// Guards against a status that HTTP does not define: a target in trouble sent
+// 000, which was passed on as an answer.
+BOOST_AUTO_TEST_CASE(answer_with_an_invalid_status_reaches_no_caller) {
+  std::vector<std::string> shapes;
+  for (const char* status :
+       {"000 ", "000 OK", "001 OK", "020 OK", "099 OK", "600 Odd", "700 Odd",
+        "999 Odd", "0 OK", "00 OK", "0200 OK", "2OO OK", "-20 OK", "20 OK"}) {
+    shapes.push_back(WithStatus(status));
+  }
+  // Bytes that are no answer prove nothing, whatever else they say.
+  shapes.push_back(
+      MakeAnswer("000 OK", "X-Not-Executed: 1\r\nContent-Length: 4\r\n"));
+  // Without a length the body would end with the connection, which stays open.
+  shapes.push_back(MakeAnswer("000 OK", ""));
+  CheckBroken(shapes, "unsafe");
+  CheckBroken(shapes, "safe");
+}
+
+BOOST_AUTO_TEST_SUITE_END()
+
+}  // namespace hornbeam
--- a/tests/instance_server_test.cc
+++ b/tests/instance_server_test.cc
@@ -375,6 +375,29 @@
       });
 }
 
+// Guards against bytes that are no answer and yet prove that a call did not
+// run, count as a success, or tell the upstream's load, in calls and in health
+// checks.
+BOOST_AUTO_TEST_CASE(status_that_http_does_not_define_is_no_answer) {
+  constexpr std::uint32_t kClaimedPercent = 500;
+  const std::string claims =
+      "X-Response-Signature: s\r\nX-Instance-Load: 0,0,18,500\r\n";
+  for (const std::string status : {"000 OK", "099 OK", "600 Odd", "999 Odd"}) {
+    for (const std::string proof : {"", "X-Not-Executed: 1\r\n"}) {
+      RunWith(Always(status, claims + proof), [&](server_fixture& fixture) {
+        fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
+        while (fixture.upstream.Heads().empty())
+          io_loop::SleepFor(std::chrono::milliseconds(5));
+        const served_call served = fixture.Call("i-1");
+        BOOST_TEST((served.end.call_outcome == outcome::kUnknown), status);
+        BOOST_TEST((served.end.reason == end_reason::kUpstreamLost), status);
+        BOOST_TEST(served.end.load.failure_per_mille > 0U, status);
+        BOOST_TEST(served.end.load.slowdown_percent != kClaimedPercent, status);
+      });
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(call_to_unreachable_upstream_is_not_run) {
   RunWith(Always("200 OK"), [](server_fixture& fixture) {
     fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -161,6 +161,7 @@
       control_peers_(ports_->NextAddress()),
       control_local_(ports_->NextAddress()),
       callers_(ports_->NextAddress()),
+      serving_callers_(ports_->NextAddress()),
       announcements_(ports_->NextAddress()),
       upstream_address_(ports_->NextAddress()),
       upstream_(upstream_address_, std::move(serve)) {}
@@ -234,7 +235,7 @@
   serving_ = StartNode(
       "serving", "history",
       fmt::format("callers = {}\nannouncements = {}\nupstream = {}\n",
-                  ports_->NextAddress(), announcements_, upstream_address_));
+                  serving_callers_, announcements_, upstream_address_));
   announcer_ = std::thread([this] { AnnounceLoop(); });
   const auto is_serving = [this] {
     return platform_connection(callers_)
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -103,6 +103,10 @@
 
   // Returns the ingress's address for callers.
   [[nodiscard]] const std::string& Callers() const { return callers_; }
+  // Returns the serving node's address for callers.
+  [[nodiscard]] const std::string& ServingCallers() const {
+    return serving_callers_;
+  }
   [[nodiscard]] child_process& Ingress() { return *ingress_; }
   [[nodiscard]] child_process& ServingNode() { return *serving_; }
   [[nodiscard]] child_process& ControlVm() { return *control_; }
@@ -135,6 +139,7 @@
   const std::string control_peers_;
   const std::string control_local_;
   const std::string callers_;
+  const std::string serving_callers_;
   const std::string announcements_;
   const std::string upstream_address_;
   platform_upstream upstream_;
--- a/tools/standin_upstream.cc
+++ b/tools/standin_upstream.cc
@@ -48,6 +48,7 @@
   add("behaviour", po::value(&line.behaviour)->default_value("{}"),
       "JSON object: short_ms, long_ms, slow_factor, fail_share, "
       "cold_start_ms, cold_start_factor, shed_above, answer_bytes, "
+      "answer_status, "
       "long_answer_bytes, honour_cancel, draining, load (true, lagging, zero)");
   return described;
 }
--- a/tools/support/standin_behaviour.cc
+++ b/tools/support/standin_behaviour.cc
@@ -8,6 +8,9 @@
 
 namespace json = boost::json;
 
+// The largest status that a status line can carry.
+constexpr std::size_t kMaxStatus = 999;
+
 std::optional<reported_load> ParseReportedLoad(std::string_view text) {
   if (text == "true") return reported_load::kCurrent;
   if (text == "lagging") return reported_load::kLagging;
@@ -56,6 +59,10 @@
   if (name == "long_answer_bytes") {
     return ReadSize(value, out.long_answer_bytes);
   }
+  if (name == "answer_status") {
+    return ReadSize(value, out.answer_status) &&
+           out.answer_status <= kMaxStatus;
+  }
   if (name == "honour_cancel") return ReadFlag(value, out.honour_cancel);
   if (name == "draining") return ReadFlag(value, out.draining);
   if (name == "load") return ReadReportedLoad(value, out.load);
--- a/tools/support/standin_behaviour.h
+++ b/tools/support/standin_behaviour.h
@@ -28,6 +28,7 @@
   std::size_t shed_above = 0;     // Queue length that sheds; 0: never.
   std::size_t answer_bytes = 200;
   std::size_t long_answer_bytes = 200;
+  std::size_t answer_status = 200;  // Of a call that ran; up to 999.
   bool honour_cancel = true;
   bool draining = false;
   reported_load load = reported_load::kCurrent;
--- a/tools/support/standin_server.cc
+++ b/tools/support/standin_server.cc
@@ -234,6 +234,8 @@
                                  : options_.behaviour.answer_bytes;
   body["padding"] = std::string(wanted, 'x');
   response.Set(http::status::ok, json::serialize(body));
+  response.message.result(
+      static_cast<unsigned>(options_.behaviour.answer_status));
 }
 
 asio::awaitable<void> standin_server::Shed(const incoming_request& request,
