An interim answer of an unknown status is not the final one

The platform's callers got 502, or the interim message itself as an answer with an empty body if it repeated the request's id.

Cause: the class of a status was taken from the library's list of names, and a status without a name had no class. By RFC 9110, section 15, a status that is not known stands for the class of its first digit.

Fix: the number decides (IsInterimStatus).

Evidence: final_answer_after_interim_ones_reaches_the_caller fails before for 103, 110, 150 and 199, each with and without the id, and passes.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -186,9 +186,7 @@
       if (request.method == "HEAD") parser.skip(true);
       error = ReadAnswer(connection, parser);
       if (error) return ToError(error);
-      const bool is_interim = http::to_status_class(parser.get().result()) ==
-                              http::status_class::informational;
-      if (is_interim) continue;
+      if (IsInterimStatus(parser.get().result_int())) continue;
       switch (CompareEcho(request, parser.get())) {
         case echo::kSame:
           return parser.release();
--- a/tests/broken_answer_process_test.cc
+++ b/tests/broken_answer_process_test.cc
@@ -67,9 +67,11 @@
     used_.insert(peer);
     std::string answer =
         shapes_.at(std::stoul(head.substr(start + kTargetStart.size())));
-    const std::size_t id = answer.find(kPlaceOfId);
-    if (id != std::string::npos)
-      answer.replace(id, kPlaceOfId.size(), ValueOf(head, "X-Request-Id"));
+    const std::string id = ValueOf(head, "X-Request-Id");
+    for (std::size_t place = answer.find(kPlaceOfId);
+         place != std::string::npos; place = answer.find(kPlaceOfId)) {
+      answer.replace(place, kPlaceOfId.size(), id);
+    }
     boost::system::error_code error;
     boost::asio::write(socket, boost::asio::buffer(answer), error);
     return !error;
@@ -186,6 +188,32 @@
   CheckBroken(shapes, "safe");
 }
 
+// Guards against an interim answer that is passed on in place of the final one.
+// A status that is not known stands for the class of its first digit.
+BOOST_AUTO_TEST_CASE(final_answer_after_interim_ones_reaches_the_caller) {
+  std::vector<std::string> shapes;
+  for (const char* status :
+       {"100 Continue", "102 Processing", "103 Early Hints", "110 Odd",
+        "150 Odd", "199 Odd"}) {
+    const std::string line = std::string("HTTP/1.1 ") + status + "\r\n";
+    const std::string final_answer = WithStatus("200 OK");
+    shapes.push_back(line + "\r\n" + final_answer);
+    shapes.push_back(line +
+                     "X-Request-Id: {id}\r\nX-Response-Signature: s\r\n\r\n" +
+                     final_answer);
+  }
+  shape_upstream upstream(shapes);
+  const auto site = StartSite(upstream, "unsafe");
+  for (std::size_t i = 0; i < shapes.size(); ++i) {
+    const platform_answer answer =
+        platform_connection(site->Callers())
+            .Call("GET", fmt::format("{}{}", kTargetStart, i),
+                  CallFields(fmt::format("interim-{}", i)));
+    BOOST_TEST(answer.status == kOk, shapes[i] << answer.head);
+    BOOST_TEST(answer.body == "body", shapes[i]);
+  }
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hornbeam
