An answer from another node is checked like one from the upstream

Callers could see: status 000 again, through an ingress that is up to date and a serving node that is not, as while a deployment is updated node by node. A status above 999 ends the ingress with an exception of the HTTP library.

Cause: the ingress passed on what a frame said. Nothing checked the status and the fields of the answer in it.

Fix: call_link, which both decision stacks use, applies answer_rules to the end of a call. An answer that cannot be passed on is acknowledged, so that the serving node frees it, logged as answer_malformed (2006), and its call ends as unknown.

Evidence: answer_of_a_node_with_an_invalid_head_is_lost (12 heads, a body of several chunks, and a next call on the connection) fails in 42 checks before and passes.

--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -29,6 +29,7 @@
   kCallCancelled = 2003,
   kUpstreamLoadChanged = 2004,
   kAnswerDropped = 2005,
+  kAnswerMalformed = 2006,
   // Membership.
   kUpstreamAnnounced = 3001,
   kLeaseRenewalFailed = 3002,
--- a/src/wire/call_link.cc
+++ b/src/wire/call_link.cc
@@ -7,6 +7,7 @@
 #include <utility>
 #include <vector>
 
+#include "base/answer_rules.h"
 #include "base/event_log.h"
 #include "io/cancel_source.h"
 #include "io/fiber_group.h"
@@ -332,6 +333,12 @@
       connection.TrySend(answer_ack{end.id});
     return;
   }
+  if (end.call_outcome == outcome::kAnswered) {
+    if (const auto defect = FindAnswerDefect(end.status, end.headers)) {
+      DiscardAnswer(connection, *call, end, *defect);
+      return;
+    }
+  }
   if (end.body_size > options_.answer_limit_bytes) {
     Finish(*call, outcome::kUnknown, end_reason::kTooLarge);
     return;
@@ -353,6 +360,20 @@
   FinishIfComplete(connection, *call);
 }
 
+// Completes a call whose answer cannot be passed on. The serving node may
+// discard the answer; its chunks are ignored.
+void call_link::DiscardAnswer(frame_connection& connection, pending_call& call,
+                              const call_end& end, answer_defect defect) {
+  log_.Write(event_id::kAnswerMalformed, {{"request", end.id.ToString()},
+                                          {"source", "node"},
+                                          {"from", peer_.ToString()},
+                                          {"status", end.status},
+                                          {"defect", DefectName(defect)},
+                                          {"outcome", "unknown"}});
+  connection.TrySend(answer_ack{end.id});
+  Finish(call, outcome::kUnknown, end_reason::kUpstreamLost);
+}
+
 void call_link::HandleChunk(frame_connection& connection,
                             const body_chunk& chunk) {
   pending_call* call = Find(chunk.id);
--- a/src/wire/call_link.h
+++ b/src/wire/call_link.h
@@ -18,6 +18,7 @@
 
 namespace hornbeam {
 
+enum class answer_defect : std::uint8_t;
 class cancel_source;
 class event_log;
 class fiber_group;
@@ -111,6 +112,8 @@
   void FailUnanswered();
   void HandleMessage(frame_connection& connection, message content);
   void HandleEnd(frame_connection& connection, call_end end);
+  void DiscardAnswer(frame_connection& connection, pending_call& call,
+                     const call_end& end, answer_defect defect);
   void HandleChunk(frame_connection& connection, const body_chunk& chunk);
   void FinishIfComplete(frame_connection& connection, pending_call& call);
   void HandleClosed(const frame_connection& connection);
--- a/tests/call_link_test.cc
+++ b/tests/call_link_test.cc
@@ -11,6 +11,9 @@
 
 namespace {
 
+// Size of an answer that is sent in several chunks.
+constexpr std::size_t kBodyBytes = std::size_t{300} << 10U;
+
 // Runs `body` with a fixture on a separate thread.
 template <class Body>
 void WithFixture(Body body, const call_server_options& options = {}) {
@@ -200,6 +203,51 @@
   });
 }
 
+// Guards against an answer that another node, perhaps of an earlier version,
+// took from its upstream although HTTP does not allow it. It may have a body of
+// several chunks.
+BOOST_AUTO_TEST_CASE(answer_of_a_node_with_an_invalid_head_is_lost) {
+  struct broken_head {
+    std::uint32_t status;
+    std::vector<header_field> fields;
+  };
+  const std::vector<broken_head> heads = {
+      {0, {}},
+      {99, {}},
+      {100, {}},
+      {199, {}},
+      {600, {}},
+      {1000, {}},
+      {200, {{"X Odd", "1"}}},
+      {200, {{"A", "1"}, {"X-Odd ", "1"}}},
+      {200, {{"X\x01Odd", "1"}}},
+      {200, {{"", "1"}}},
+      {200, {{"X-Odd", "1\r\nX-More: 2"}}},
+      {200, {{"X-Odd", std::string(1, '\0')}}},
+  };
+  for (const broken_head& head : heads) {
+    WithFixture([&head](call_fixture& fixture) {
+      fixture.service.answer_status = head.status;
+      fixture.service.answer_fields = head.fields;
+      fixture.service.answer_body = [](const inbound_call& /*call*/) {
+        return std::string(kBodyBytes, 'a');
+      };
+      const call_result broken = fixture.Call("/broken");
+      BOOST_TEST((broken.end.call_outcome == outcome::kUnknown));
+      BOOST_TEST((broken.end.reason == end_reason::kUpstreamLost));
+      BOOST_TEST(broken.end.headers.empty());
+      BOOST_TEST(broken.body.empty());
+      // The connection stays in step.
+      fixture.service.answer_status = 200;
+      fixture.service.answer_fields = {{"X-Valid", "a b"}};
+      const call_result next = fixture.Call("/next");
+      BOOST_TEST((next.end.call_outcome == outcome::kAnswered));
+      BOOST_TEST(next.body.size() == kBodyBytes);
+      BOOST_TEST(fixture.service.runs == 2);
+    });
+  }
+}
+
 BOOST_AUTO_TEST_CASE(long_answer_does_not_delay_short_answer) {
   WithFixture([](call_fixture& fixture) {
     constexpr std::size_t kLongBytes = 50UL * 1024 * 1024;
--- a/tests/support/call_fixture.h
+++ b/tests/support/call_fixture.h
@@ -37,7 +37,9 @@
     started.insert(call.start.target);
     if (on_serve) on_serve(call);
     return served_call{
-        .end = call_end{.call_outcome = outcome::kAnswered, .status = 200},
+        .end = call_end{.call_outcome = outcome::kAnswered,
+                        .status = answer_status,
+                        .headers = answer_fields},
         .body = answer_body ? answer_body(call) : call.start.target};
   }
   served_call Fence(const attempt_fence& /*fence*/) override {
@@ -46,6 +48,8 @@
   bool Probe(load_report& /*load*/) override { return true; }
 
   int runs = 0;
+  std::uint32_t answer_status = 200;
+  std::vector<header_field> answer_fields;
   std::set<std::string> started;
   std::function<void(const inbound_call&)> on_serve;
   std::function<std::string(const inbound_call&)> answer_body;
