A recorded answer that HTTP does not allow is not returned to a resend

Callers could see: a resend of an operation whose upstream had answered with status 000 gets that answer out of the ledger for as long as the key is valid, also after the nodes were updated.

Cause: what the ledger holds was taken for an answer without a look at it.

Fix: the coordinator applies answer_rules to a recorded answer. A broken one ends as unknown ("the operation ran; its recorded answer is not valid") and is not run again. Answers that are fetched from a serving node are checked by call_link.

Evidence: recorded_answer_with_an_invalid_head_is_not_returned fails in 12 checks before (6 answers) and passes.

--- a/src/filters/claim_filter.cc
+++ b/src/filters/claim_filter.cc
@@ -66,6 +66,8 @@
       return {422, "the Idempotency-Key is from the future"};
     case verdict_reason::kKeyMalformed:
       return {400, "the Idempotency-Key is not a UUIDv7"};
+    case verdict_reason::kAnswerMalformed:
+      return {502, "the operation ran; its recorded answer is not valid"};
   }
   return {502, "what became of the operation is not known"};
 }
--- a/src/ledger/claim_coordinator.cc
+++ b/src/ledger/claim_coordinator.cc
@@ -5,6 +5,7 @@
 #include <variant>
 #include <vector>
 
+#include "base/answer_rules.h"
 #include "base/store_client.h"
 #include "hornbeam/random_source.h"
 #include "ledger/answer_record.h"
@@ -143,6 +144,8 @@
   step Handle(const answered_reply& answered) {
     const recorded_answer& record = answered.answer;
     if (record.body_recorded) {
+      if (FindAnswerDefect(record.status, record.headers))
+        return Unknown(verdict_reason::kAnswerMalformed);
       operation_verdict verdict =
           MakeVerdict(outcome::kAnswered, verdict_reason::kNone);
       verdict.answer = {.status = record.status,
--- a/src/ledger/claim_coordinator.h
+++ b/src/ledger/claim_coordinator.h
@@ -48,6 +48,7 @@
   kKeyExpired,         // The key is too old; the operation may have run.
   kKeyFromFuture,
   kKeyMalformed,
+  kAnswerMalformed,  // It ran; the recorded answer is not valid HTTP.
 };
 
 // Outcome of one copy, with the answer or the reason.
--- a/tests/claim_coordinator_test.cc
+++ b/tests/claim_coordinator_test.cc
@@ -244,17 +244,38 @@
 }
 
 BOOST_AUTO_TEST_CASE(large_answer_is_fetched_from_node_while_retained) {
-  simulation.answer_body.assign(1'000, 'x');
+  simulation.answer.body.assign(1'000, 'x');
   BOOST_TEST(Is(simulation.SendAndRecord(), outcome::kAnswered));
   const auto again = simulation.Send(true);
   BOOST_TEST(Is(again, outcome::kAnswered));
-  BOOST_TEST(again.answer.body == simulation.answer_body);
+  BOOST_TEST(again.answer.body == simulation.answer.body);
   simulation.clock.Advance(simulation.guard_options.answer_retention);
   BOOST_TEST(Is(simulation.Send(true), outcome::kUnknown,
                 verdict_reason::kAnswerNotRetained));
   BOOST_TEST(simulation.runs == 1U);
 }
 
+// Guards against an answer that an earlier version of an ingress recorded
+// although HTTP does not allow it.
+BOOST_AUTO_TEST_CASE(recorded_answer_with_an_invalid_head_is_not_returned) {
+  const std::vector<operation_answer> broken = {
+      {.status = 0, .body = "a"},
+      {.status = 99, .body = "a"},
+      {.status = 101, .body = "a"},
+      {.status = 600, .body = "a"},
+      {.status = 200, .headers = {{"X Odd", "1"}}, .body = "a"},
+      {.status = 200, .headers = {{"X-Odd", "1\r\n2"}}, .body = "a"}};
+  for (const operation_answer& answer : broken) {
+    ledger_simulation recorded(kSeed);
+    recorded.answer = answer;
+    recorded.SendAndRecord();
+    const auto again = recorded.Send(true);
+    BOOST_TEST(Is(again, outcome::kUnknown, verdict_reason::kAnswerMalformed));
+    BOOST_TEST(again.answer.body.empty());
+    BOOST_TEST(recorded.runs == 1U);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(resend_without_target_queries_ledger_first) {
   BOOST_TEST(Is(simulation.SendAndRecord(), outcome::kAnswered));
   simulation.has_targets = false;
--- a/tests/support/ledger_simulation.cc
+++ b/tests/support/ledger_simulation.cc
@@ -222,8 +222,6 @@
     guard.MarkLost(attempt);
     return Unknown(unknown_reason::kUpstreamLost);
   }
-  const operation_answer answer{
-      .status = 201, .headers = {}, .body = answer_body};
   guard.Finish(attempt, answer);
   if (fault == dispatch_fault::kAnswerLost) return Unreachable();
   return {.status = attempt_status::kAnswered, .answer = answer};
--- a/tests/support/ledger_simulation.h
+++ b/tests/support/ledger_simulation.h
@@ -90,7 +90,7 @@
   bool has_targets = true;
   attempt_guard_options guard_options;
   std::uint32_t runs = 0;
-  std::string answer_body = "recorded";
+  operation_answer answer{.status = 201, .headers = {}, .body = "recorded"};
 
  private:
   class dispatcher;
