The serving node logs each answer of its upstream that it discards

The ingress logged such a call as one whose answer was lost, and nothing told a broken answer from a closed connection. Both stacks now write answer_malformed (2006) with the call, the upstream and the outcome. broken_answer_process_test counts one line for each broken answer; without this change it finds none.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -45,8 +45,8 @@
     {event_id::kAnswerMalformed, "answer_malformed", kWarning,
      "An answer is not valid HTTP or does not belong to its request and was "
      "not "
-     "passed on; `source` is where it came from: the upstream of this node, "
-     "another node or the ledger."},
+     "passed on; `source` is where it came from: the upstream of this node or "
+     "another node."},
     {event_id::kUpstreamAnnounced, "upstream_announced", kInfo,
      "The upstream of this node announced itself."},
     {event_id::kLeaseRenewalFailed, "lease_renewal_failed", kWarning,
--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -345,6 +345,8 @@
   UpdateQueuePause(*upstream, clock_.Now());
   upstream->Apply(upstream->queue.Release(clock_.Now()));
   if (!answer) {
+    LogMalformedAnswer(log_, answer.error(), call.start.id,
+                       upstream->announced.instance);
     served_call failed = ToServedCall(answer.error());
     if (answer.error() != http_call_error::kNotSent) return failed;
     upstream->reachable = call.cancel.IsCancelled();
--- a/src/controllers/served_call.cc
+++ b/src/controllers/served_call.cc
@@ -2,6 +2,8 @@
 
 #include <utility>
 
+#include "base/event_log.h"
+
 namespace hornbeam {
 
 namespace {
@@ -57,6 +59,15 @@
   return MakeServedCall(outcome::kUnknown, end_reason::kUpstreamLost);
 }
 
+void LogMalformedAnswer(event_log& log, http_call_error error,
+                        const request_id& call, const std::string& upstream) {
+  if (error != http_call_error::kMalformed) return;
+  log.Write(event_id::kAnswerMalformed, {{"request", call.ToString()},
+                                         {"source", "upstream"},
+                                         {"from", upstream},
+                                         {"outcome", "unknown"}});
+}
+
 served_call ToServedCall(http_response&& answer) {
   if (IsNotRunRejection(answer)) {
     return MakeServedCall(outcome::kNotRun, end_reason::kRejectedByUpstream);
--- a/src/controllers/served_call.h
+++ b/src/controllers/served_call.h
@@ -1,6 +1,9 @@
 // Results of calls at the serving node.
 #pragma once
 
+#include <string>
+
+#include "hornbeam/request_id.h"
 #include "http/http_client.h"
 #include "http/http_messages.h"
 #include "policy/admission_queue.h"
@@ -8,6 +11,8 @@
 
 namespace hornbeam {
 
+class event_log;
+
 // Converts a rejection by the admission queue to the reason sent to the
 // ingress.
 end_reason ToEndReason(rejection_reason reason);
@@ -19,6 +24,11 @@
 // nothing of the call was sent.
 served_call ToServedCall(http_call_error error);
 
+// Logs a call whose answer from the upstream was malformed; other errors are
+// logged by the ingress alone. `upstream` is its name or address.
+void LogMalformedAnswer(event_log& log, http_call_error error,
+                        const request_id& call, const std::string& upstream);
+
 // Converts the upstream's answer. A rejection that the upstream marks as not
 // run becomes kNotRun.
 served_call ToServedCall(http_response&& answer);
--- a/src/controllers/serving_controller.cc
+++ b/src/controllers/serving_controller.cc
@@ -266,6 +266,10 @@
   auto answer = announced.client->Call(
       ToUpstreamRequest(call, call.deadline - started_at), limit, never);
   const duration ran_for = clock_.Now() - started_at;
+  if (!answer) {
+    LogMalformedAnswer(log_, answer.error(), call.start.id,
+                       announced.announcement.address.ToString());
+  }
   served_call served = answer ? ToServedCall(std::move(answer).value())
                               : ToServedCall(answer.error());
   served.end.service_time_us = static_cast<std::uint64_t>(ran_for.count());
--- a/tests/broken_answer_process_test.cc
+++ b/tests/broken_answer_process_test.cc
@@ -13,6 +13,7 @@
 #include <vector>
 
 #include "support/platform_site.h"
+#include "support/wait_until.h"
 
 namespace hornbeam {
 
@@ -89,6 +90,15 @@
   int runs_ = 0;
 };
 
+int CountIn(const std::string& text, std::string_view part) {
+  int count = 0;
+  for (std::size_t at = text.find(part); at != std::string::npos;
+       at = text.find(part, at + part.size())) {
+    ++count;
+  }
+  return count;
+}
+
 std::string CallFields(const std::string& id) {
   return "Host: history.example\r\nX-Request-Id: " + id +
          "\r\nX-Deadline-Ms: 3500\r\n";
@@ -137,6 +147,11 @@
     }
   }
   BOOST_TEST(upstream.Reused() == 0);
+  // The log is written in the background.
+  BOOST_TEST(WaitUntil([&] {
+    return CountIn(site->ServingNode().Output(), "name=answer_malformed") ==
+           upstream.Runs();
+  }));
 }
 
 }  // namespace
