The load tool and the tests take no answer with an undefined status

Found while looking for the cause of status 000 wherever answers are read: the pool of callers returned such an answer with its body, and kept the connection. Since it says 0 itself for a call without an answer, the two could not be told apart.

Fix: the pool applies answer_rules to the status; the call has no answer and the connection is closed.

Evidence: caller_pool_test fails in 11 checks before and passes. hornbeamctl reads no HTTP, and the announcer of the stand-ins takes known 2xx answers only.

--- a/tools/support/caller_pool.cc
+++ b/tools/support/caller_pool.cc
@@ -9,6 +9,8 @@
 #include <optional>
 #include <utility>
 
+#include "base/answer_rules.h"
+
 namespace hornbeam {
 
 namespace asio = boost::asio;
@@ -112,6 +114,8 @@
     auto [read_error, read] =
         co_await http::async_read(*stream, buffer, parser, kAwaitTuple);
     error = read_error;
+    if (!error && !IsFinalStatus(parser.get().result_int()))
+      error = http::error::bad_status;
   }
   if (error) {
     --target.open;
