An answer with another transfer coding than chunked is no answer

Some calls waited until their deadline, since the body seemed to end with the connection.

Cause: the parser library ignores a transfer coding that it does not know, and reads chunks in HTTP/1.0.

Fix: the HTTP client takes an answer only without Transfer-Encoding or with exactly chunked in HTTP/1.1 (RFC 9112, 6.1 and 7). No request asks for another coding.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -6,6 +6,7 @@
 #include <boost/beast/core/tcp_stream.hpp>
 #include <boost/beast/http.hpp>
 #include <charconv>
+#include <iterator>
 #include <optional>
 #include <string_view>
 #include <utility>
@@ -86,11 +87,34 @@
   return response;
 }
 
+using answer_parser = http::response_parser<http::string_body>;
+
+// Returns whether the transfer codings of an answer are ones that the parser
+// has undone: none, or exactly chunked (RFC 9112, 6.1 and 7). No request asks
+// for others. The parser ignores those that it does not know.
+bool IsValidTransferCoding(const answer_parser& parser) {
+  constexpr unsigned kFirstVersionWithCodings = 11;
+  const auto& answer = parser.get();
+  const auto [first, last] = answer.equal_range(http::field::transfer_encoding);
+  if (first == last) return true;
+  const bool is_usable = std::next(first) == last && parser.chunked() &&
+                         answer.version() >= kFirstVersionWithCodings;
+  if (!is_usable) return false;
+  // Empty elements of a list have no meaning.
+  std::string_view coding = first->value();
+  const std::size_t start = coding.find_first_not_of(" \t,");
+  coding.remove_prefix(std::min(start, coding.size()));
+  coding = coding.substr(0, coding.find_last_not_of(" \t,") + 1);
+  return beast::iequals(coding, "chunked");
+}
+
 // Returns whether the head that was read may belong to an interim or a final
 // answer. The parser takes every status of three digits.
-bool IsValidHead(const http::response<http::string_body>& answer) {
+bool IsValidHead(const answer_parser& parser) {
+  const auto& answer = parser.get();
   const unsigned status = answer.result_int();
   return (IsInterimStatus(status) || IsFinalStatus(status)) &&
+         IsValidTransferCoding(parser) &&
          std::ranges::none_of(answer, [](const auto& field) {
            return FindFieldDefect(field.name_string(), field.value())
                .has_value();
@@ -179,7 +203,7 @@
     if (error == beast::error::timeout) return http_call_error::kTimeout;
     if (error) return http_call_error::kLost;
     for (int skipped = 0; skipped < kMaxStaleAnswers; ++skipped) {
-      http::response_parser<http::string_body> parser;
+      answer_parser parser;
       parser.header_limit(
           static_cast<std::uint32_t>(options_.head_limit_bytes));
       parser.body_limit(options_.answer_limit_bytes);
@@ -199,8 +223,6 @@
     return http_call_error::kMalformed;
   }
 
-  using answer_parser = http::response_parser<http::string_body>;
-
   // Reads one answer within the limit on all bodies that are being received.
   // Fails as soon as its head is known to be invalid.
   boost::system::error_code ReadAnswer(open_connection& connection,
@@ -215,7 +237,7 @@
                             FiberWait(error));
       if (!error && !head_checked && parser.is_header_done()) {
         head_checked = true;
-        if (!IsValidHead(parser.get())) error = http::error::bad_status;
+        if (!IsValidHead(parser)) error = http::error::bad_status;
       }
       if (!body.Grow(parser.get().body().size()))
         error = http::error::body_limit;
