An answer with a content coding does not reach the platform's callers

PROTOCOL, "Answers": callers request bodies without any encoding, and such a body is not the target's.

Cause: the serving node took the signature and a complete body for the whole proof.

Fix: the codec tells that the body is encoded, and the serving node discards the answer: its outcome is unknown, it counts against the upstream and is logged. A rejection that says in its head that the call did not run still holds. On the product's own interface a caller may ask for encodings, so nothing changes there.

--- a/include/hornbeam/platform_codec.h
+++ b/include/hornbeam/platform_codec.h
@@ -69,6 +69,7 @@
 struct upstream_answer {
   bool ran = true;  // False only if the upstream reports that it did not run.
   bool has_signature = false;  // Carries the upstream's own signature.
+  bool is_encoded = false;     // The body is not as the upstream made it.
   std::optional<upstream_load> load;
 };
 
--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -360,6 +360,11 @@
     upstream->refused.Record(caller_id, call.deadline, clock_.Now());
     return MakeServedCall(outcome::kNotRun, end_reason::kRejectedByUpstream);
   }
+  if (read.is_encoded) {
+    LogMalformedAnswer(log_, http_call_error::kMalformed, call.start.id,
+                       upstream->announced.instance);
+    return ToServedCall(http_call_error::kMalformed);
+  }
   constexpr unsigned kFirstNonSuccessStatus = 300;
   const bool succeeded = response.status < kFirstNonSuccessStatus;
   // A success without the upstream's signature did not come from the upstream.
--- a/tests/broken_answer_process_test.cc
+++ b/tests/broken_answer_process_test.cc
@@ -122,11 +122,14 @@
   return site;
 }
 
+// What is expected of the upstream's connection after a broken answer.
+enum class connection_after : std::uint8_t { kClosed, kAny };
+
 // Checks that no caller gets one of `shapes`, that each call ends promptly,
-// runs at most once and closes the upstream's connection, and that the next
-// call is served. `kind` is the route's.
+// runs at most once, and that the next call is served. `kind` is the route's.
 void CheckBroken(const std::vector<std::string>& shapes,
-                 const std::string& kind) {
+                 const std::string& kind,
+                 connection_after expected = connection_after::kClosed) {
   shape_upstream upstream(shapes);
   const auto site = StartSite(upstream, kind);
   for (const std::string& callers : {site->Callers(), site->ServingCallers()}) {
@@ -152,7 +155,7 @@
       BOOST_TEST(next.body == "history", shape);
     }
   }
-  BOOST_TEST(upstream.Reused() == 0);
+  BOOST_TEST((expected == connection_after::kAny || upstream.Reused() == 0));
   // The log is written in the background.
   BOOST_TEST(WaitUntil([&] {
     return CountIn(site->ServingNode().Output(), "name=answer_malformed") ==
@@ -252,6 +255,21 @@
   CheckBroken(shapes, "safe");
 }
 
+// Guards against a body that is not the upstream's: the platform's callers ask
+// for bodies without any content coding.
+BOOST_AUTO_TEST_CASE(answer_with_a_content_coding_reaches_no_caller) {
+  std::vector<std::string> shapes;
+  for (const char* status : {"200 OK", "500 Oops", "503 Busy"}) {
+    for (const char* line : {"Content-Encoding: gzip", "content-encoding:br",
+                             "Content-Encoding: identity", "Content-Encoding:"})
+      shapes.push_back(
+          MakeAnswer(status, std::string(line) + "\r\nContent-Length: 4\r\n"));
+  }
+  // Where such an answer ends is clear, so its connection may be kept.
+  CheckBroken(shapes, "unsafe", connection_after::kAny);
+  CheckBroken(shapes, "safe", connection_after::kAny);
+}
+
 // Guards against rules that refuse valid framings.
 BOOST_AUTO_TEST_CASE(answer_with_a_valid_framing_reaches_the_caller) {
   const std::string chunks =
--- a/tests/instance_server_test.cc
+++ b/tests/instance_server_test.cc
@@ -398,6 +398,28 @@
   }
 }
 
+// An encoded body is not passed on. The head is the upstream's, so its
+// rejection holds.
+BOOST_AUTO_TEST_CASE(encoded_answer_is_lost_and_encoded_rejection_is_not_run) {
+  const std::string encoded =
+      "X-Response-Signature: s\r\nContent-Encoding: gzip\r\n";
+  for (const std::string status : {"200 OK", "500 Oops"}) {
+    RunWith(Always(status, encoded), [](server_fixture& fixture) {
+      fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
+      const served_call served = fixture.Call("i-1");
+      BOOST_TEST((served.end.call_outcome == outcome::kUnknown));
+      BOOST_TEST(served.body.empty());
+      BOOST_TEST(served.end.load.failure_per_mille > 0U);
+    });
+  }
+  RunWith(Always("503 Busy", encoded + "X-Not-Executed: 1\r\n"),
+          [](server_fixture& fixture) {
+            fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
+            const served_call served = fixture.Call("i-1");
+            BOOST_TEST((served.end.call_outcome == outcome::kNotRun));
+          });
+}
+
 BOOST_AUTO_TEST_CASE(call_to_unreachable_upstream_is_not_run) {
   RunWith(Always("200 OK"), [](server_fixture& fixture) {
     fixture.server.Announce(fixture.Announcement("i-1", 100, 1));
