An answer has one id and one signature

Cause: the first field of a name was looked at and the others were passed on.

Fix: an answer with several echoed ids is malformed, and only a single signature with a value counts as the upstream's. A success without one is now logged as answer_malformed like the other answers that are discarded.

--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -360,16 +360,14 @@
     upstream->refused.Record(caller_id, call.deadline, clock_.Now());
     return MakeServedCall(outcome::kNotRun, end_reason::kRejectedByUpstream);
   }
-  if (read.is_encoded) {
-    LogMalformedAnswer(log_, http_call_error::kMalformed, call.start.id,
-                       upstream->announced.instance);
-    return ToServedCall(http_call_error::kMalformed);
-  }
   constexpr unsigned kFirstNonSuccessStatus = 300;
   const bool succeeded = response.status < kFirstNonSuccessStatus;
-  // A success without the upstream's signature did not come from the upstream.
-  if (succeeded && !read.has_signature) {
-    return MakeServedCall(outcome::kUnknown, end_reason::kUpstreamLost);
+  // The upstream signs its successes and encodes no body.
+  if (read.is_encoded || (succeeded && !read.has_signature)) {
+    constexpr auto kError = http_call_error::kMalformed;
+    LogMalformedAnswer(log_, kError, call.start.id,
+                       upstream->announced.instance);
+    return ToServedCall(kError);
   }
   if (succeeded) upstream->times.Record(call.start.route, ran_for, slowdown);
   served_call served = MakeServedCall(outcome::kAnswered, end_reason::kNone);
--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -214,7 +214,7 @@
       switch (CompareEcho(request, parser.get())) {
         case echo::kSame:
           return parser.release();
-        case echo::kMissing:
+        case echo::kUnclear:
           return http_call_error::kMalformed;
         case echo::kOther:
           break;
@@ -245,7 +245,7 @@
     return error;
   }
 
-  enum class echo : std::uint8_t { kSame, kOther, kMissing };
+  enum class echo : std::uint8_t { kSame, kOther, kUnclear };
 
   [[nodiscard]] echo CompareEcho(
       const http_request& request,
@@ -253,10 +253,10 @@
     if (options_.echoed_field.empty()) return echo::kSame;
     const auto requested = request.Header(options_.echoed_field);
     if (!requested) return echo::kSame;
-    const auto echoed = answer.find(options_.echoed_field);
-    if (echoed == answer.end()) return echo::kMissing;
-    return std::string_view(echoed->value()) == *requested ? echo::kSame
-                                                           : echo::kOther;
+    const auto [first, last] = answer.equal_range(options_.echoed_field);
+    if (first == last || std::next(first) != last) return echo::kUnclear;
+    return std::string_view(first->value()) == *requested ? echo::kSame
+                                                          : echo::kOther;
   }
 
   static http_call_error ToError(const boost::system::error_code& error) {
--- a/src/http/http_client.h
+++ b/src/http/http_client.h
@@ -47,7 +47,7 @@
   duration max_idle_time = std::chrono::seconds(20);
   // Field that the server echoes from the request. An answer with another value
   // belongs to an earlier request and is skipped; an answer without the field
-  // is malformed. If empty, answers are not checked.
+  // or with several is malformed. If empty, answers are not checked.
   std::string echoed_field;
 };
 
--- a/tests/broken_answer_process_test.cc
+++ b/tests/broken_answer_process_test.cc
@@ -270,6 +270,21 @@
   CheckBroken(shapes, "safe", connection_after::kAny);
 }
 
+// Guards against an answer that can be taken for that of two requests, or for
+// two answers: each field stands for one thing only.
+BOOST_AUTO_TEST_CASE(answer_with_a_repeated_id_or_signature_reaches_no_caller) {
+  std::vector<std::string> shapes;
+  for (const char* line :
+       {"X-Request-Id: other", "x-request-id: {id}",
+        "X-Request-Id:", "X-Response-Signature: t", "x-response-signature: s",
+        "X-Response-Signature:"}) {
+    shapes.push_back(WithField(line));
+  }
+  // Where such an answer ends is clear, so its connection may be kept.
+  CheckBroken(shapes, "unsafe", connection_after::kAny);
+  CheckBroken(shapes, "safe", connection_after::kAny);
+}
+
 // Guards against rules that refuse valid framings.
 BOOST_AUTO_TEST_CASE(answer_with_a_valid_framing_reaches_the_caller) {
   const std::string chunks =
