--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -43,10 +43,8 @@
      "to free memory or because it is old; if the call ran, a status query "
      "until its deadline is answered with \"unknown\"."},
     {event_id::kAnswerMalformed, "answer_malformed", kWarning,
-     "An answer is not valid HTTP or does not belong to its request and was "
-     "not "
-     "passed on; `source` is where it came from: the upstream of this node or "
-     "another node."},
+     "An answer of the upstream (`source`) or of another node is not valid "
+     "HTTP or does not belong to its request, and was not passed on."},
     {event_id::kUpstreamAnnounced, "upstream_announced", kInfo,
      "The upstream of this node announced itself."},
     {event_id::kLeaseRenewalFailed, "lease_renewal_failed", kWarning,
--- a/tests/broken_answer_process_test.cc
+++ b/tests/platform_broken_answer_process_test.cc
@@ -179,7 +179,7 @@
 
 }  // namespace
 
-BOOST_AUTO_TEST_SUITE(broken_answer_process_test)
+BOOST_AUTO_TEST_SUITE(platform_broken_answer_process_test)
 
 // Guards against a status that HTTP does not define: a target in trouble sent
 // 000, which was passed on as an answer.
