The tests' upstream closes the connections that have ended

Cause: platform_upstream kept the socket and the thread of each ended connection until the end of the test. Answers that fail at once bring some 8,000 connections a second here; after 2.5 s the test's process had its 20,000 descriptors open and could not make another connection.

Fix: a connection's socket is closed with its thread, and ended threads are joined when the next connection is accepted. The test's checks and bounds are as they were.

--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -87,7 +87,10 @@
   ::shutdown(acceptor_.native_handle(), SHUT_RDWR);
   accept_thread_.join();
   for (served_connection& each : connections_) {
-    ::shutdown(each.socket.native_handle(), SHUT_RDWR);
+    {
+      const std::scoped_lock lock(mutex_);
+      if (!each.ended) ::shutdown(each.socket.native_handle(), SHUT_RDWR);
+    }
     each.thread.join();
   }
 }
@@ -99,12 +102,24 @@
     acceptor_.accept(socket, error);
     if (error) return;
     const std::scoped_lock lock(mutex_);
+    std::erase_if(connections_, [](served_connection& each) {
+      if (each.ended) each.thread.join();
+      return each.ended;
+    });
     served_connection& added =
         connections_.emplace_back(served_connection{std::move(socket), {}});
-    added.thread = std::thread([this, &added] { Serve(added.socket); });
+    added.thread = std::thread([this, &added] { Run(added); });
   }
 }
 
+void platform_upstream::Run(served_connection& connection) {
+  Serve(connection.socket);
+  const std::scoped_lock lock(mutex_);
+  boost::system::error_code ignored;
+  connection.socket.close(ignored);
+  connection.ended = true;
+}
+
 void platform_upstream::Serve(tcp::socket& socket) const {
   std::string received;
   while (true) {
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -66,9 +66,11 @@
   struct served_connection {
     boost::asio::ip::tcp::socket socket;
     std::thread thread;
+    bool ended = false;  // The thread ends; the socket is closed.
   };
 
   void AcceptLoop();
+  void Run(served_connection& connection);
   void Serve(boost::asio::ip::tcp::socket& socket) const;
 
   boost::asio::io_context context_;
