A link is up once its peer has sent hello

Cause: a connection counted as up as soon as it was established. The kernel of a suspended VM establishes connections, so a node that left a frozen registrar took the next frozen one for connected and stayed 1.5 s with each, until its silence limit.

Change: message_link reports a peer only after its hello, which it awaits for the time limit of a connect (300 ms), and then tries the next one.

--- a/src/wire/message_link.cc
+++ b/src/wire/message_link.cc
@@ -26,9 +26,12 @@
       connection.TrySend(pong{received_ping->nonce});
       return;
     }
-    const bool is_link_message = std::holds_alternative<pong>(content) ||
-                                 std::holds_alternative<hello>(content);
-    if (!is_link_message) link_.observer_.OnLinkMessage(std::move(content));
+    if (std::holds_alternative<pong>(content)) return;
+    if (std::holds_alternative<hello>(content)) {
+      link_.HandleHello();
+    } else {
+      link_.observer_.OnLinkMessage(std::move(content));
+    }
   }
   void OnClosed(frame_connection& connection) override {
     link_.HandleClosed(connection);
@@ -88,7 +91,7 @@
 }
 
 bool message_link::IsUp() const {
-  return connection_ && !connection_->IsClosed();
+  return connection_ && received_hello_ && !connection_->IsClosed();
 }
 
 std::uint64_t message_link::TotalBytes() const {
@@ -124,6 +127,7 @@
   if (!socket || stopped_ || suspended_) return false;
   connection_ =
       frame_connection::MakeFrameConnection(std::move(socket).value(), clock_);
+  received_hello_ = false;
   ++connection_number_;
   connection_->TrySend(hello{.protocol_version = kProtocolVersion,
                              .sender = self_.name,
@@ -131,9 +135,25 @@
                              .purpose = purpose_,
                              .connection_number = connection_number_});
   connection_->Start(std::make_shared<reader>(*this), *fibers_);
+  return WaitForHello();
+}
+
+// Closes the connection if the peer sends no hello in time.
+bool message_link::WaitForHello() {
+  {
+    std::unique_lock lock(mutex_);
+    changed_.wait_until(lock, clock_.Now() + options_.connect_timeout, [this] {
+      return stopped_ || !connection_ || received_hello_;
+    });
+  }
+  if (connection_ && !received_hello_) connection_->Close();
+  return received_hello_;
+}
+
+void message_link::HandleHello() {
+  if (std::exchange(received_hello_, true)) return;
   changed_.notify_all();
   observer_.OnLinkUp();
-  return true;
 }
 
 // Monitors the connection until it is closed.
@@ -161,7 +181,8 @@
       connection.BytesSent() + connection.BytesReceived();
   connection_ = nullptr;
   changed_.notify_all();
-  observer_.OnLinkDown();
+  // Run reports a connection that never was up.
+  if (received_hello_) observer_.OnLinkDown();
 }
 
 }  // namespace hornbeam
--- a/src/wire/message_link.h
+++ b/src/wire/message_link.h
@@ -29,6 +29,7 @@
 };
 
 struct message_link_options {
+  // Time limit to connect, and then for the peer's hello.
   duration connect_timeout = kPeerConnectTimeout;
   duration reconnect_delay = std::chrono::milliseconds(100);
   // A connection without a received byte for this time is considered lost, and
@@ -36,8 +37,9 @@
   duration silence_timeout = std::chrono::milliseconds(3000);
 };
 
-// Keeps a connection to one peer open. Owned by its user, which outlives it.
-// For the I/O thread only.
+// Keeps a connection to one peer open. The link is up once the peer has sent
+// its hello: the kernel of a suspended VM accepts connections, too. Owned by
+// its user, which outlives it. For the I/O thread only.
 class message_link {
  public:
   message_link(io_loop& loop, const clock_source& clock,
@@ -61,7 +63,7 @@
   // full.
   bool TrySend(const message& content);
 
-  // Waits until the connection is up. Returns false if `deadline` passes, an
+  // Waits until the link is up. Returns false if `deadline` passes, an
   // attempt to connect fails or Stop is called first.
   bool WaitUp(time_point deadline);
 
@@ -75,7 +77,9 @@
 
   void Run();
   bool ConnectOnce();
+  bool WaitForHello();
   void MonitorConnection();
+  void HandleHello();
   void HandleClosed(const frame_connection& connection);
 
   io_loop& loop_;
@@ -87,6 +91,7 @@
   link_observer& observer_;
   fiber_group* fibers_ = nullptr;
   std::shared_ptr<frame_connection> connection_;
+  bool received_hello_ = false;  // On the current connection.
   std::uint64_t connection_number_ = 0;
   std::uint64_t failed_attempts_ = 0;
   std::uint64_t closed_connections_bytes_ = 0;
