Nodes log which control VM is their registrar

Event 3008 tells when a registrar has answered, event 3002 names the one that was lost. No change of behaviour.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -63,6 +63,8 @@
      "check result changed."},
     {event_id::kControlListChanged, "control_list_changed", kInfo,
      "The list of control VMs that this node may use changed."},
+    {event_id::kRegistrarConnected, "registrar_connected", kInfo,
+     "The node has a control VM as registrar, which answered its hello."},
     {event_id::kClaimEnded, "claim_ended", kInfo,
      "The verdict on a copy of a non-idempotent call is known."},
     {event_id::kSettingsAccepted, "settings_accepted", kInfo,
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -38,6 +38,7 @@
   kAnnouncementRejected = 3005,
   kUpstreamStateChanged = 3006,
   kControlListChanged = 3007,
+  kRegistrarConnected = 3008,
   // Ledger.
   kClaimEnded = 4003,
   // Settings.
--- a/src/controllers/fleet_directory.cc
+++ b/src/controllers/fleet_directory.cc
@@ -128,6 +128,10 @@
 }
 
 void fleet_directory::OnRegistrarUp() {
+  log_.Write(event_id::kRegistrarConnected,
+             {{"node", self_.node},
+              {"registrar", control_->Registrar().ToString()},
+              {"version", Version()}});
   SendLease();
   control_->SendToRegistrar(routing_watch{.known_version = Version()});
   WatchServices();
@@ -135,7 +139,9 @@
 
 void fleet_directory::OnRegistrarDown() {
   log_.Write(event_id::kLeaseRenewalFailed,
-             {{"node", self_.node}, {"version", Version()}});
+             {{"node", self_.node},
+              {"registrar", control_->Registrar().ToString()},
+              {"version", Version()}});
 }
 
 void fleet_directory::WatchServices() {
--- a/src/controllers/service_directory.cc
+++ b/src/controllers/service_directory.cc
@@ -110,6 +110,9 @@
 }
 
 void service_directory::OnRegistrarUp() {
+  log_.Write(
+      event_id::kRegistrarConnected,
+      {{"node", self_.node}, {"registrar", control_->Registrar().ToString()}});
   RenewLease();
   for (const auto& service : services_ | std::views::values)
     SendWatch(*service);
@@ -134,7 +137,9 @@
 }
 
 void service_directory::OnRegistrarDown() {
-  log_.Write(event_id::kLeaseRenewalFailed, {{"node", self_.node}});
+  log_.Write(
+      event_id::kLeaseRenewalFailed,
+      {{"node", self_.node}, {"registrar", control_->Registrar().ToString()}});
 }
 
 void service_directory::LeaseLoop() {
--- a/src/wire/control_client.cc
+++ b/src/wire/control_client.cc
@@ -193,6 +193,10 @@
   for (const auto& each : channels_) each->Link().Stop();
 }
 
+const endpoint& control_client::Registrar() const {
+  return channels_[registrar_]->Link().Peer();
+}
+
 bool control_client::SendToRegistrar(const message& content) {
   return channels_[registrar_]->Link().TrySend(content);
 }
--- a/src/wire/control_client.h
+++ b/src/wire/control_client.h
@@ -75,6 +75,9 @@
   void Start(fiber_group& fibers);
   void Stop();
 
+  // Returns the address of the registrar, which need not be connected.
+  [[nodiscard]] const endpoint& Registrar() const;
+
   // Sends `content` to the registrar. Returns false if it is not connected or
   // the send queue is full.
   bool SendToRegistrar(const message& content);
