Every control VM answers operators itself

Change: a control VM forwards a change to the leader over the links that control VMs have anyway (store_forwarder, which nodes use already), waits within the operator's patience (0.9 s) while a leader is elected, and proposes again when the leader changes; changes carry an id, so a second proposal has no effect. A read gets the confirmed version from the leader and the table from the local replica, so that no table crosses zones. A replica that was cut off for longer than an election takes rejects at once, as before. Redirects between control VMs are gone.

--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -11,6 +11,7 @@
 #include "base/proposal_gate.h"
 #include "controllers/replica_host.h"
 #include "controllers/replica_mesh.h"
+#include "controllers/store_forwarder.h"
 #include "controllers/store_mapping.h"
 #include "io/fiber_group.h"
 #include "io/io_loop.h"
@@ -163,6 +164,7 @@
 control_service::control_service(const clock_source& clock, event_log& log,
                                  const process_identity& self,
                                  control_stores stores, replica_mesh& mesh,
+                                 store_forwarder& forwarder,
                                  const control_service_options& options)
     : clock_(clock),
       log_(log),
@@ -171,7 +173,7 @@
       mesh_(mesh),
       options_(options),
       leases_(options.lease_duration),
-      forwarder_(clock, mesh),
+      forwarder_(forwarder),
       started_at_(clock.Now()),
       leases_broadcast_at_(started_at_),
       last_round_at_(started_at_) {
@@ -354,8 +356,12 @@
   const std::string leader = store.Status().leader;
   const bool other_leads =
       !leader.empty() && store.Status().role != replica_role::kLeader;
+  const auto send_back =
+      [weak = connection.weak_from_this()](const store_reply& forwarded) {
+        if (const auto origin = weak.lock()) origin->TrySend(forwarded);
+      };
   if (request.may_forward && other_leads &&
-      forwarder_.Forward(leader, connection, request)) {
+      forwarder_.Forward(leader, request, send_back)) {
     return;
   }
   const auto reply = [weak = connection.weak_from_this(), correlation,
--- a/src/controllers/control_service.h
+++ b/src/controllers/control_service.h
@@ -10,7 +10,6 @@
 #include "controllers/control_locations.h"
 #include "controllers/lease_table.h"
 #include "controllers/routing_feed.h"
-#include "controllers/store_forwarder.h"
 #include "hornbeam/clock_source.h"
 #include "wire/call_link.h"
 #include "wire/endpoint.h"
@@ -26,6 +25,7 @@
 class proposal_gate;
 class replica_host;
 class replica_mesh;
+class store_forwarder;
 struct change_record;
 
 // The replicated stores of one control VM. Owned by the daemon.
@@ -66,7 +66,8 @@
  public:
   control_service(const clock_source& clock, event_log& log,
                   const process_identity& self, control_stores stores,
-                  replica_mesh& mesh, const control_service_options& options);
+                  replica_mesh& mesh, store_forwarder& forwarder,
+                  const control_service_options& options);
   ~control_service() override;
 
   std::shared_ptr<frame_handler> MakeFrameHandler() override;
@@ -130,7 +131,7 @@
   replica_mesh& mesh_;
   const control_service_options options_;
   lease_table leases_;
-  store_forwarder forwarder_;
+  store_forwarder& forwarder_;
   time_point started_at_;
   time_point leases_broadcast_at_;
   time_point last_round_at_;
--- a/src/controllers/operator_handler.cc
+++ b/src/controllers/operator_handler.cc
@@ -1,16 +1,13 @@
 #include "controllers/operator_handler.h"
 
-#include <memory>
-#include <optional>
 #include <string>
-#include <utility>
 
 #include "base/event_log.h"
 #include "controllers/replica_host.h"
 #include "controllers/replica_status.h"
-#include "io/fiber_signal.h"
+#include "io/io_loop.h"
+#include "replication/replica_options.h"
 #include "routing/routing_codec.h"
-#include "wire/endpoint.h"
 
 namespace hornbeam {
 
@@ -32,12 +29,13 @@
 
 operator_handler::operator_handler(const clock_source& clock, event_log& log,
                                    const platform_codec& codec,
-                                   replica_host& routing,
+                                   replica_host& routing, leader_client& leader,
                                    const operator_options& options)
     : clock_(clock),
       log_(log),
       codec_(codec),
       routing_(routing),
+      leader_(leader),
       options_(options) {}
 
 http_response operator_handler::Handle(const http_request& request,
@@ -50,74 +48,68 @@
                 {"reason", read.error().reason}});
     return codec_.WriteError(read.error());
   }
-  if (routing_.Status().role != replica_role::kLeader) {
-    return RedirectToLeader(request);
-  }
   const auto* change = std::get_if<routing_change>(&read.value());
-  return change != nullptr ? HandleChange(request, *change)
-                           : HandleRead(request);
-}
-
-http_response operator_handler::RedirectToLeader(const http_request& request) {
-  const auto leader = endpoint::Parse(routing_.Status().leader);
-  log_.Write(event_id::kRoutingChangeEnded,
-             {{"target", request.target},
-              {"outcome", leader ? "redirected" : "no leader"},
-              {"leader", leader ? leader->ToString() : std::string()}});
-  if (!leader) return codec_.WriteUnavailable("no leader is known");
-  return codec_.WriteRedirect(
-      endpoint{.host = leader->host, .port = options_.port}.ToString(),
-      request);
+  return change != nullptr ? HandleChange(*change) : HandleRead();
 }
 
-http_response operator_handler::HandleChange(const http_request& request,
-                                             const routing_change& change) {
-  const auto reply_signal = std::make_shared<fiber_signal<replica_reply>>();
-  const time_point limit = clock_.Now() + options_.time_limit;
-  routing_.Propose(EncodeRoutingChange(change), limit,
-                   [reply_signal](replica_reply reply) {
-                     reply_signal->Set(std::move(reply));
-                   });
-  const replica_reply* reply =
-      reply_signal->WaitUntil(limit + options_.time_limit);
-  const auto decoded = reply != nullptr && *reply
-                           ? DecodeRoutingReply(reply->value())
-                           : std::nullopt;
+http_response operator_handler::HandleChange(const routing_change& change) {
+  const time_point started = clock_.Now();
+  const auto reply = leader_.Propose(EncodeRoutingChange(change),
+                                     started + options_.time_limit);
+  const auto decoded = reply ? DecodeRoutingReply(reply.value()) : std::nullopt;
   log_.Write(event_id::kRoutingChangeEnded,
              {{"version", change.version},
               {"base", change.base_version},
               {"change", change.change_id.ToString()},
               {"current", decoded ? decoded->current_version : 0},
               {"outcome", decoded ? VerdictName(decoded->verdict) : "unsure"},
-              {"faults", decoded ? decoded->errors.size() : 0}});
+              {"faults", decoded ? decoded->errors.size() : 0},
+              {"leader", routing_.Status().leader},
+              {"elapsed_ms", MillisecondsSince(started)}});
   if (decoded) return codec_.WriteRoutingReply(*decoded);
   // The change may or may not have been accepted; the operator sends it again.
-  if (reply != nullptr && reply->error() == replica_error::kNotLeader) {
-    return RedirectToLeader(request);
-  }
   return codec_.WriteUnavailable("no quorum confirmed the change in time");
 }
 
-http_response operator_handler::HandleRead(const http_request& request) {
-  const auto reply_signal = std::make_shared<fiber_signal<replica_reply>>();
-  const time_point limit = clock_.Now() + options_.time_limit;
-  routing_.Query(EncodeRoutingQuery(routing_query::kTable), limit,
-                 [reply_signal](replica_reply reply) {
-                   reply_signal->Set(std::move(reply));
-                 });
-  const replica_reply* reply =
-      reply_signal->WaitUntil(limit + options_.time_limit);
-  const auto table = reply != nullptr && *reply
-                         ? DecodeRoutingTable(reply->value())
-                         : std::nullopt;
+http_response operator_handler::HandleRead() {
+  const time_point started = clock_.Now();
+  const auto table = ReadCurrentTable(started + options_.time_limit);
   log_.Write(event_id::kRoutingChangeEnded,
              {{"outcome", table ? "read" : "read unsure"},
-              {"version", table ? table->version : 0}});
+              {"version", table ? table->version : 0},
+              {"leader", routing_.Status().leader},
+              {"elapsed_ms", MillisecondsSince(started)}});
   if (table) return codec_.WriteRoutingTable(*table);
-  if (reply != nullptr && reply->error() == replica_error::kNotLeader) {
-    return RedirectToLeader(request);
-  }
   return codec_.WriteUnavailable("no quorum confirmed the version in time");
 }
 
+// Only the version comes from the leader, so a read moves no table between
+// availability zones.
+std::optional<routing_table> operator_handler::ReadCurrentTable(
+    time_point limit) {
+  const auto reply =
+      leader_.Query(EncodeRoutingQuery(routing_query::kVersion), limit);
+  const auto confirmed =
+      reply ? DecodeRoutingVersion(reply.value()) : std::nullopt;
+  if (!confirmed) return std::nullopt;
+  while (LocalVersion() < *confirmed) {
+    if (clock_.Now() >= limit) return std::nullopt;
+    io_loop::SleepFor(kReplicaTickInterval);
+  }
+  return DecodeRoutingTable(
+      routing_.QueryStale(EncodeRoutingQuery(routing_query::kTable)));
+}
+
+std::uint64_t operator_handler::LocalVersion() const {
+  return DecodeRoutingVersion(
+             routing_.QueryStale(EncodeRoutingQuery(routing_query::kVersion)))
+      .value_or(0);
+}
+
+std::int64_t operator_handler::MillisecondsSince(time_point started) const {
+  return std::chrono::duration_cast<std::chrono::milliseconds>(clock_.Now() -
+                                                               started)
+      .count();
+}
+
 }  // namespace hornbeam
--- a/src/controllers/store_forwarder.cc
+++ b/src/controllers/store_forwarder.cc
@@ -14,19 +14,18 @@
 
 store_forwarder::~store_forwarder() { mesh_.OnStoreReply(nullptr); }
 
-bool store_forwarder::Forward(const std::string& leader,
-                              frame_connection& origin, store_request request) {
+bool store_forwarder::Forward(const std::string& leader, store_request request,
+                              reply_handler on_reply) {
   const std::uint64_t correlation = next_correlation_++;
-  const forwarded_request entry{
-      .origin = origin.weak_from_this(),
-      .correlation = request.correlation,
-      .deadline =
-          clock_.Now() + std::chrono::microseconds(request.deadline_us)};
+  forwarded_request entry{.on_reply = std::move(on_reply),
+                          .correlation = request.correlation,
+                          .deadline = clock_.Now() + std::chrono::microseconds(
+                                                         request.deadline_us)};
   request.correlation = correlation;
   // A request is forwarded only once, so that it cannot loop.
   request.may_forward = false;
   if (!mesh_.Send(leader, request)) return false;
-  forwarded_.emplace(correlation, entry);
+  forwarded_.emplace(correlation, std::move(entry));
   return true;
 }
 
@@ -40,10 +39,10 @@
 void store_forwarder::HandleReply(store_reply reply) {
   const auto found = forwarded_.find(reply.correlation);
   if (found == forwarded_.end()) return;
-  const forwarded_request entry = found->second;
+  const forwarded_request entry = std::move(found->second);
   forwarded_.erase(found);
   reply.correlation = entry.correlation;
-  if (const auto origin = entry.origin.lock()) origin->TrySend(reply);
+  entry.on_reply(std::move(reply));
 }
 
 }  // namespace hornbeam
--- a/src/controllers/store_forwarder.h
+++ b/src/controllers/store_forwarder.h
@@ -1,41 +1,43 @@
-// Forwarding of store requests to a leader that the requester cannot reach.
+// Forwarding of store requests to the control VM that leads.
 #pragma once
 
 #include <cstdint>
-#include <memory>
+#include <functional>
 #include <string>
 #include <unordered_map>
 
 #include "hornbeam/clock_source.h"
-#include "wire/frame_connection.h"
 #include "wire/messages.h"
 
 namespace hornbeam {
 
 class replica_mesh;
 
-// A leader that is partitioned from some nodes keeps its leadership as long as
-// it reaches the other control VMs. Those forward the nodes' requests over
-// their own links. For the I/O thread only; owned by the control service.
+// Sends requests over the links between control VMs, for requesters that cannot
+// reach the leader or do not know it. For the I/O thread only; owned by the
+// daemon.
 class store_forwarder {
  public:
+  using reply_handler = std::function<void(store_reply)>;
+
   store_forwarder(const clock_source& clock, replica_mesh& mesh);
   ~store_forwarder();
   store_forwarder(const store_forwarder&) = delete;
   store_forwarder& operator=(const store_forwarder&) = delete;
 
-  // Sends `request` to the control VM at `leader`; its reply goes to `origin`.
+  // Sends `request` to the control VM at `leader`. `on_reply` gets its reply,
+  // with the correlation of `request`, unless the deadline passes first.
   // Returns false, and sends nothing, when that VM is not connected.
-  bool Forward(const std::string& leader, frame_connection& origin,
-               store_request request);
+  bool Forward(const std::string& leader, store_request request,
+               reply_handler on_reply);
 
   // Drops the requests whose deadline has passed.
   void Expire();
 
  private:
   struct forwarded_request {
-    std::weak_ptr<frame_connection> origin;
-    std::uint64_t correlation = 0;  // The id that the origin assigned.
+    reply_handler on_reply;
+    std::uint64_t correlation = 0;  // The id that the requester assigned.
     time_point deadline;
   };
 
--- a/src/controllers/store_mapping.cc
+++ b/src/controllers/store_mapping.cc
@@ -24,6 +24,21 @@
   return store_status::kTimeout;
 }
 
+replica_error ToReplicaError(store_status status) {
+  switch (status) {
+    case store_status::kNotLeader:
+      return replica_error::kNotLeader;
+    case store_status::kNoQuorum:
+      return replica_error::kNoQuorum;
+    case store_status::kRejected:
+      return replica_error::kTooLarge;
+    case store_status::kDone:
+    case store_status::kTimeout:
+      return replica_error::kTimeout;
+  }
+  return replica_error::kTimeout;
+}
+
 store_summary SummarizeStore(store_id store, const replica_status& status) {
   return store_summary{.store = store,
                        .role = std::string(ReplicaRoleName(status.role)),
--- a/src/daemon/control_daemon.cc
+++ b/src/daemon/control_daemon.cc
@@ -15,9 +15,11 @@
 #include "base/seeded_random_source.h"
 #include "base/system_clock_source.h"
 #include "controllers/control_service.h"
+#include "controllers/leader_client.h"
 #include "controllers/operator_handler.h"
 #include "controllers/replica_host.h"
 #include "controllers/replica_mesh.h"
+#include "controllers/store_forwarder.h"
 #include "daemon/daemon_settings.h"
 #include "daemon/local_handler.h"
 #include "daemon/stop_signals.h"
@@ -36,6 +38,9 @@
 constexpr int kExitIncomplete = 4;
 constexpr int kExitStorageFailed = 5;
 constexpr duration kFiberStopTimeout = std::chrono::seconds(5);
+// A follower campaigns after one to two election timeouts; the third one is for
+// the votes.
+constexpr int kElectionRounds = 3;
 
 // Large enough for a routing table of about ten thousand routes.
 constexpr std::size_t kMaxOperatorBodyBytes = std::size_t{16} << 20U;
@@ -66,6 +71,7 @@
         signals_(loop_),
         mesh_(loop_, clock_, self_, settings.listen.peers,
               settings.control_addresses),
+        forwarder_(clock_, mesh_),
         gate_(MakeSettingsGate(settings.teams)),
         local_(
             metrics_, [this] { return service_ && service_->IsReady(); },
@@ -79,7 +85,7 @@
                        .ledger = ledger_store_.get(),
                        .routing = routing_store_.get(),
                        .settings_gate = *gate_},
-        mesh_,
+        mesh_, forwarder_,
         control_service_options{
             .lease_duration = settings_.limits.lease_duration,
             .lease_interval = settings_.limits.lease_interval,
@@ -172,9 +178,15 @@
   bool ListenForOperators() {
     const endpoint address =
         settings_.listen.operators.value_or(settings_.listen.local);
+    routing_leader_ = std::make_unique<leader_client>(
+        clock_, *routing_store_, forwarder_,
+        leader_client_options{
+            .store = store_id::kRouting,
+            .cut_off_after =
+                kElectionRounds * settings_.control.election_timeout});
     operators_ = std::make_unique<operator_handler>(
-        clock_, log_, *codec_, *routing_store_,
-        operator_options{.port = address.port});
+        clock_, log_, *codec_, *routing_store_, *routing_leader_,
+        operator_options{});
     operator_server_ = http_server::MakeHttpServer(
         loop_, address.host, address.port,
         http_server_options{.body_limit_bytes = kMaxOperatorBodyBytes}, clock_);
@@ -222,6 +234,7 @@
   process_metrics process_metrics_;
   stop_signals signals_;
   replica_mesh mesh_;
+  store_forwarder forwarder_;
   std::vector<std::unique_ptr<replica_transport>> transports_;
   std::unique_ptr<proposal_gate> gate_;
   std::unique_ptr<replica_host> settings_store_;
@@ -229,6 +242,7 @@
   std::unique_ptr<replica_host> routing_store_;
   local_handler local_;
   std::unique_ptr<control_service> service_;
+  std::unique_ptr<leader_client> routing_leader_;
   std::unique_ptr<operator_handler> operators_;
   std::unique_ptr<http_server> operator_server_;
   std::unique_ptr<http_server> local_server_;
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -1,6 +1,7 @@
 #include "support/platform_site.h"
 
 #include <fmt/format.h>
+#include <poll.h>
 
 #include <algorithm>
 #include <boost/asio/buffer.hpp>
@@ -42,6 +43,11 @@
   return address.substr(address.find(':') + 1);
 }
 
+// Returns the address of the control VM at `index`, given that of the first.
+std::string AddressOf(const std::string& first, std::size_t index) {
+  return fmt::format("127.0.0.{}:{}", index + 1, PortOf(first));
+}
+
 }  // namespace
 
 platform_connection::platform_connection(const std::string& address)
@@ -50,6 +56,12 @@
   socket_.connect(ParseAddress(address), ignored);
 }
 
+bool platform_connection::WaitForAnswer() {
+  if (!time_limit_) return true;
+  pollfd waiting{.fd = socket_.native_handle(), .events = POLLIN, .revents = 0};
+  return ::poll(&waiting, 1, static_cast<int>(time_limit_->count())) > 0;
+}
+
 platform_answer platform_connection::Call(std::string_view method,
                                           std::string_view target,
                                           const std::string& fields,
@@ -59,7 +71,7 @@
                   target, body.size(), fields, body);
   boost::system::error_code error;
   asio::write(socket_, asio::buffer(request), error);
-  if (error) return {};
+  if (error || !WaitForAnswer()) return {};
   std::string received;
   const std::size_t head_size = asio::read_until(
       socket_, asio::dynamic_buffer(received), kHeadEnd, error);
@@ -186,7 +198,7 @@
   if (announcer_.joinable()) announcer_.join();
   if (ingress_) ingress_->Kill();
   if (serving_) serving_->Kill();
-  if (control_) control_->Kill();
+  for (const auto& each : controls_) each->Kill();
 }
 
 std::unique_ptr<child_process> platform_site::StartDaemon(
@@ -215,27 +227,56 @@
                         "[limits]\nreceiving_body_bytes = 33554432\n",
                         name, service, options_.stop_grace.count(),
                         ports_->NextAddress(), ports_->NextAddress(), addresses,
-                        operators_, PortOf(control_peers_)));
+                        ControlAddresses(), PortOf(control_peers_)));
 }
 
-void platform_site::StartControlVm() {
-  const std::filesystem::path data = directory_.Path() / "data";
+std::unique_ptr<child_process> platform_site::StartControlVm(
+    std::size_t index) const {
+  const std::string name = fmt::format("control-{}", index + 1);
+  const std::filesystem::path data = directory_.Path() / (name + "-data");
   std::filesystem::create_directory(data);
-  control_ = StartDaemon(
-      "control",
-      fmt::format("[process]\nrole = control\nname = control-1\nregion = r\n"
-                  "availability_zone = z\n"
-                  "[listen]\npeers = {}\nlocal = {}\noperators = {}\n"
-                  "[control]\naddresses = {}\npeers_port = {}\n"
-                  "may_found = 1\ntolerated_losses = 0\n"
-                  "[storage]\ndata_folder = {}\n[log]\nfile = -\n",
-                  control_peers_, control_local_, operators_, operators_,
-                  PortOf(control_peers_), data.string()));
+  return StartDaemon(
+      name, fmt::format("[process]\nrole = control\nname = {}\nregion = r\n"
+                        "availability_zone = z\n"
+                        "[listen]\npeers = {}\nlocal = {}\noperators = {}\n"
+                        "[control]\naddresses = {}\npeers_port = {}\n"
+                        "may_found = 1\ntolerated_losses = {}\n"
+                        "heartbeat_ms = 150\nelection_timeout_ms = 700\n"
+                        "isolation_limit_ms = 900\nstaleness_limit_ms = 2000\n"
+                        "[storage]\ndata_folder = {}\n[log]\nfile = -\n",
+                        name, AddressOf(control_peers_, index),
+                        AddressOf(control_local_, index), Operators(index),
+                        ControlAddresses(), PortOf(control_peers_),
+                        (options_.control_vms - 1) / 2, data.string()));
+}
+
+std::string platform_site::ControlAddresses() const {
+  std::string addresses = Operators();
+  for (std::size_t index = 1; index < options_.control_vms; ++index) {
+    addresses += "," + Operators(index);
+  }
+  return addresses;
+}
+
+std::string platform_site::Operators(std::size_t index) const {
+  return AddressOf(operators_, index);
+}
+
+std::size_t platform_site::LeadingControlVm() const {
+  constexpr std::string_view kElected = "role=leader term=";
+  const auto last_term = [&](const auto& control) {
+    const std::string log = control->Errors() + control->Output();
+    const std::size_t found = log.rfind(kElected);
+    if (found == std::string::npos) return 0;
+    return std::atoi(log.c_str() + found + kElected.size());
+  };
+  const auto leading = std::ranges::max_element(controls_, {}, last_term);
+  return static_cast<std::size_t>(leading - controls_.begin());
 }
 
 bool platform_site::RestartControlVm() {
-  control_->Kill();
-  StartControlVm();
+  controls_.front()->Kill();
+  controls_.front() = StartControlVm(0);
   return WaitUntil([this] {
     return platform_connection(operators_)
                .Call("GET", "/hornbeamlb/Config.Get", "Host: control\r\n")
@@ -244,7 +285,10 @@
 }
 
 bool platform_site::Start() {
-  StartControlVm();
+  for (std::size_t index = 0; index < options_.control_vms; ++index) {
+    controls_.push_back(StartControlVm(index));
+    if (controls_.back() == nullptr) return false;
+  }
   ingress_ =
       StartNode("ingress", "desk", fmt::format("callers = {}\n", callers_));
   serving_ = StartNode(
@@ -259,23 +303,23 @@
                      "X-Deadline-Ms: 1000\r\n")
                .status == 200;
   };
-  return control_ && ingress_ && serving_ &&
-         WaitUntil([this] { return Replace(FirstTable()) == 200; }) &&
+  return ingress_ && serving_ &&
+         WaitUntil([this] { return Replace(MakeTable(1, 0)) == 200; }) &&
          WaitUntil(is_serving);
 }
 
-std::string platform_site::FirstTable() const {
+std::string platform_site::MakeTable(int version, int base_version) const {
   const double timeout_s =
       static_cast<double>(options_.route_timeout.count()) / 1000;
   return fmt::format(
-      R"({{"version":"r1","baseVersion":"r0","routes":{{"history":{{)"
+      R"({{"version":"r{2}","baseVersion":"r{3}","routes":{{"history":{{)"
       R"("host":"history.example","pathPrefix":"/history/",)"
       R"("kind":"{1}","service":"history","maxAttempts":2,)"
       R"("timeoutS":{0},"aimS":{0},"priority":0}}}},)"
       R"("services":{{"history":{{"healthPath":"/health","maxConnections":220}}}},)"
       R"("limits":{{"maxHeaderBytes":16384,"maxBodyBytes":1048576,)"
       R"("headerTimeoutS":5,"idleTimeoutS":20}}}})",
-      timeout_s, options_.route_kind);
+      timeout_s, options_.route_kind, version, base_version);
 }
 
 int platform_site::Replace(const std::string& table) const {
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -1,4 +1,4 @@
-// A control VM and two nodes of the platform's daemon, with the test itself as
+// Control VMs and two nodes of the platform's daemon, with the test itself as
 // upstream, operator and callers.
 #pragma once
 
@@ -40,13 +40,20 @@
  public:
   explicit platform_connection(const std::string& address);
 
+  // Limits the time until an answer begins.
+  void SetTimeLimit(std::chrono::milliseconds limit) { time_limit_ = limit; }
+
   // Sends one request and waits for its answer.
   platform_answer Call(std::string_view method, std::string_view target,
                        const std::string& fields, const std::string& body = {});
 
  private:
+  // Returns false if the time limit passes first.
+  bool WaitForAnswer();
+
   boost::asio::io_context context_;
   boost::asio::ip::tcp::socket socket_;
+  std::optional<std::chrono::milliseconds> time_limit_;
 };
 
 // An upstream on loopback, with a thread for each connection.
@@ -89,6 +96,7 @@
   std::chrono::seconds stop_grace{6};
   std::chrono::milliseconds route_timeout{4000};
   std::string route_kind = "unsafe";
+  std::size_t control_vms = 1;
 };
 
 // The ingress has no upstream of its own; the serving node is beside the only
@@ -111,11 +119,19 @@
   }
   [[nodiscard]] child_process& Ingress() { return *ingress_; }
   [[nodiscard]] child_process& ServingNode() { return *serving_; }
-  [[nodiscard]] child_process& ControlVm() { return *control_; }
+  [[nodiscard]] child_process& ControlVm(std::size_t index = 0) {
+    return *controls_.at(index);
+  }
+  // Returns where operators reach a control VM.
+  [[nodiscard]] std::string Operators(std::size_t index = 0) const;
+  // Returns the control VM that was elected last, by the logs.
+  [[nodiscard]] std::size_t LeadingControlVm() const;
 
   // Sends one change of the routing table, a JSON document, and returns the
   // status of the reply; 0 without one.
   [[nodiscard]] int Replace(const std::string& table) const;
+  // Returns a table with the given version.
+  [[nodiscard]] std::string MakeTable(int version, int base_version) const;
   // Ends the control VM by force, starts it on its disk and waits until it
   // leads.
   bool RestartControlVm();
@@ -131,12 +147,16 @@
       const std::string& addresses) const;
   bool Start();
   void AnnounceLoop();
-  void StartControlVm();
-  [[nodiscard]] std::string FirstTable() const;
+  [[nodiscard]] std::unique_ptr<child_process> StartControlVm(
+      std::size_t index) const;
+  // Returns the configured addresses of all control VMs.
+  [[nodiscard]] std::string ControlAddresses() const;
 
   const platform_site_options options_;
   temporary_directory directory_;
   const std::unique_ptr<port_block> ports_;
+  // Of the first control VM. The others use the same ports of the next loopback
+  // addresses.
   const std::string operators_;
   const std::string control_peers_;
   const std::string control_local_;
@@ -147,7 +167,7 @@
   platform_upstream upstream_;
   std::atomic<bool> stopped_ = false;
   std::thread announcer_;
-  std::unique_ptr<child_process> control_;
+  std::vector<std::unique_ptr<child_process>> controls_;
   std::unique_ptr<child_process> ingress_;
   std::unique_ptr<child_process> serving_;
 };
