--- a/src/daemon/setting_catalogue.cc
+++ b/src/daemon/setting_catalogue.cc
@@ -111,7 +111,8 @@
      }},
     {"control", "peers_port", kCount, kAllRoles, 0, 65535, "0",
      "Port of listen.peers at the control VMs, which replaces the ports in "
-     "control.addresses; 0 keeps those.",
+     "control.addresses; those are then the ports of listen.operators. 0 keeps "
+     "them.",
      [](text, text value, daemon_settings& settings) {
        return StoreNumber(value, settings.control.peers_port);
      }},
