A voter that gets no pre-votes sends hellos at once

Cause: the others replace a voter that is silent for 3 s. When it runs again its own log still names it a voter, and a voter sent hellos, by which alone the leader admits it again, only four election timeouts (2.8 s) after it had heard of a leader.

Change: it sends them from its first failed pre-vote. A pre-vote and a hello disrupt nobody; the leader ignores the hello of a member.

Test: replica_without_leader_test/voter_whose_first_campaign_fails_sends_hellos fails before.

--- a/src/replication/replica_core.cc
+++ b/src/replication/replica_core.cc
@@ -15,9 +15,6 @@
 namespace {
 
 constexpr int kReportLifetimeInElectionTimeouts = 2;
-// A voter that receives nothing from a leader for this many election timeouts
-// may have been removed from the membership.
-constexpr int kVoterHelloDelayInElectionTimeouts = 4;
 
 constexpr std::uint64_t kFirstReadings = std::uint64_t{1} << 31U;
 // One step of a clock reading, which is sent with each reply.
@@ -101,13 +98,12 @@
 }
 
 // Returns whether this replica has to send hellos, because it belongs to no
-// cluster or its leader may no longer have it in the membership.
+// cluster or its leader may no longer have it in the membership. A voter that
+// was replaced while it was suspended finds out when it gets no pre-votes.
 bool replica_core::ShouldSendHellos() const {
   if (role_ == replica_role::kUnformed) return true;
-  const duration limit =
-      IsVoter() ? options_.election_timeout * kVoterHelloDelayInElectionTimeouts
-                : options_.election_timeout;
-  return now_ - leader_heard_at_ >= limit;
+  if (IsVoter()) return role_ == replica_role::kPreCandidate;
+  return now_ - leader_heard_at_ >= options_.election_timeout;
 }
 
 void replica_core::OnPersisted(time_point now) {
--- a/tests/replica_without_leader_test.cc
+++ b/tests/replica_without_leader_test.cc
@@ -2,6 +2,7 @@
 // leader.
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
+#include <iterator>
 #include <string>
 #include <variant>
 #include <vector>
@@ -145,6 +146,50 @@
   }
 }
 
+// Guards against a control VM that answers "no leader" for seconds after it was
+// suspended: the others have replaced it as voter, so only its hello brings it
+// a leader again.
+BOOST_AUTO_TEST_CASE(voter_whose_first_campaign_fails_sends_hellos) {
+  constexpr duration kTick = std::chrono::milliseconds(10);
+  const replica_options options{.name = kLearner.name,
+                                .configured_names = {kLeader.name},
+                                .target_voters = 3};
+  recovered_state recovered{.incarnation = kLearner.incarnation};
+  recovered.state.formation = cluster_formation{
+      .cluster_id = kClusterId,
+      .membership = {.members = {{.identity = kLeader, .voter = true},
+                                 {.identity = kLearner, .voter = true}}}};
+  seeded_random_source random(1);
+  replica_core voter(options, std::move(recovered), random, kStart);
+  voter.OnMessage({.from = kLeader,
+                   .to_incarnation = kLearner.incarnation,
+                   .cluster_id = kClusterId,
+                   .term = 1,
+                   .body = append_request{}},
+                  kStart);
+  BOOST_REQUIRE(voter.Leader().has_value());
+  const auto is_hello = [](const addressed_message& message) {
+    return std::holds_alternative<hello_request>(message.message.body);
+  };
+  time_point now = kStart;
+  bool sent_hello = false;
+  while (!sent_hello && now < kStart + 10 * options.election_timeout) {
+    now += kTick;
+    voter.OnTick(now);
+    replica_output output = voter.TakeOutput(now);
+    if (output.batch) {
+      voter.OnPersisted(now);
+      std::ranges::copy(voter.TakeOutput(now).messages,
+                        std::back_inserter(output.messages));
+    }
+    sent_hello = std::ranges::any_of(output.messages, is_hello);
+  }
+  BOOST_TEST(sent_hello);
+  // The first campaign begins after two election timeouts at the latest.
+  BOOST_TEST((now - kStart <=
+              2 * options.election_timeout + options.heartbeat_interval));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hornbeam
