--- a/include/hornbeam/platform_codec.h
+++ b/include/hornbeam/platform_codec.h
@@ -104,12 +104,8 @@
 // Query of the platform whether this node accepts callers.
 struct readiness_check {};
 
-// A change or read of the routing table that an operator sent to this node.
-// Only control VMs decode it.
-struct operator_call {};
-
-using node_request = std::variant<readiness_check, instance_announcement,
-                                  instance_withdrawal, operator_call>;
+using node_request =
+    std::variant<readiness_check, instance_announcement, instance_withdrawal>;
 
 // ---- Operators ----
 
--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -78,8 +78,6 @@
     {event_id::kRoutingChangeEnded, "routing_change_ended", kInfo,
      "A change or a read of the routing table was answered, after "
      "elapsed_ms."},
-    {event_id::kOperatorRedirected, "operator_redirected", kInfo,
-     "An operator that asked this node was redirected to a control VM."},
     {event_id::kReplicaRoleChanged, "replica_role_changed", kInfo,
      "A replica of a store changed its role or term."},
     {event_id::kReplicaStorageFailed, "replica_storage_failed", kError,
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -47,7 +47,6 @@
   kRoutingAccepted = 5003,
   kRoutingInForce = 5004,
   kRoutingChangeEnded = 5005,
-  kOperatorRedirected = 5006,
   // Replication.
   kReplicaRoleChanged = 6001,
   kReplicaStorageFailed = 6002,
--- a/src/controllers/instance_handler.cc
+++ b/src/controllers/instance_handler.cc
@@ -12,14 +12,12 @@
 instance_handler::instance_handler(const platform_codec& codec, event_log& log,
                                    instance_server& server,
                                    std::function<bool()> is_ready,
-                                   std::function<std::string()> format_metrics,
-                                   control_finder find_control)
+                                   std::function<std::string()> format_metrics)
     : codec_(codec),
       log_(log),
       server_(server),
       is_ready_(std::move(is_ready)),
-      format_metrics_(std::move(format_metrics)),
-      find_control_(std::move(find_control)) {}
+      format_metrics_(std::move(format_metrics)) {}
 
 http_response instance_handler::Handle(const http_request& request,
                                        cancel_source& /*caller_disconnected*/) {
@@ -38,9 +36,6 @@
   if (std::holds_alternative<readiness_check>(node_message)) {
     return codec_.WriteReadiness(is_ready_());
   }
-  if (std::holds_alternative<operator_call>(node_message)) {
-    return RedirectToControl(request);
-  }
   const auto* announced = std::get_if<instance_announcement>(&node_message);
   const auto* withdrawn = std::get_if<instance_withdrawal>(&node_message);
   // What is not applied is not acknowledged either.
@@ -61,14 +56,4 @@
   return codec_.WriteAcknowledgement();
 }
 
-http_response instance_handler::RedirectToControl(const http_request& request) {
-  const auto control = find_control_();
-  log_.Write(event_id::kOperatorRedirected,
-             {{"target", request.target},
-              {"outcome", control ? "redirected" : "no control VM"},
-              {"control", control ? control->ToString() : std::string()}});
-  if (!control) return codec_.WriteUnavailable("no control VM is connected");
-  return codec_.WriteRedirect(control->ToString(), request);
-}
-
 }  // namespace hornbeam
--- a/src/daemon/daemon_settings.cc
+++ b/src/daemon/daemon_settings.cc
@@ -202,7 +202,6 @@
   void ApplyPeersPort() {
     if (settings_.control.peers_port == 0) return;
     for (endpoint& address : settings_.control_addresses) {
-      settings_.control.operators_port = address.port;
       address.port = settings_.control.peers_port;
     }
   }
--- a/src/daemon/daemon_settings.h
+++ b/src/daemon/daemon_settings.h
@@ -58,9 +58,6 @@
 struct control_settings {
   // Port that replaces the port of each control address; 0 keeps the ports.
   std::uint16_t peers_port = 0;
-  // The port that peers_port replaced, where control VMs listen for operators;
-  // 0 if none was replaced.
-  std::uint16_t operators_port = 0;
   // Whether this may be the first start of the control VMs, with empty disks,
   // which forms the cluster.
   bool may_found = true;
--- a/src/daemon/routed_node_daemon.cc
+++ b/src/daemon/routed_node_daemon.cc
@@ -2,7 +2,6 @@
 
 #include <algorithm>
 #include <memory>
-#include <optional>
 #include <string>
 #include <vector>
 
@@ -41,8 +40,6 @@
 // nodes after two failed checks; until then callers still arrive.
 constexpr duration kUnreadyDetectionDelay = std::chrono::milliseconds(2600);
 constexpr duration kCountLogInterval = std::chrono::seconds(5);
-// Operators give up after about a second and turn to another VM.
-constexpr duration kRegistrarWaitLimit = std::chrono::milliseconds(600);
 
 // Returns the index of the control VM whose address shares the longest prefix
 // with this node's address. Platforms number the VMs of a zone within one
@@ -136,8 +133,7 @@
             [this] {
               process_metrics_.Sample();
               return metrics_.FormatText();
-            },
-            [this] { return FindControl(); }) {}
+            }) {}
 
   int Run() {
     if (!Listen()) return kExitBindFailed;
@@ -187,15 +183,6 @@
     return options;
   }
 
-  std::optional<endpoint> FindControl() {
-    const std::uint16_t port = settings_.control.operators_port;
-    if (port == 0) return std::nullopt;
-    auto control =
-        control_->WaitForRegistrar(clock_.Now() + kRegistrarWaitLimit);
-    if (control) control->port = port;
-    return control;
-  }
-
   std::unique_ptr<http_server> Serve(const endpoint& address) {
     return http_server::MakeHttpServer(loop_, address.host, address.port,
                                        MakeHttpOptions(settings_.limits),
--- a/src/daemon/setting_catalogue.cc
+++ b/src/daemon/setting_catalogue.cc
@@ -111,8 +111,7 @@
      }},
     {"control", "peers_port", kCount, kAllRoles, 0, 65535, "0",
      "Port of listen.peers at the control VMs, which replaces the ports in "
-     "control.addresses; those are then the ports of listen.operators. 0 keeps "
-     "them.",
+     "control.addresses; 0 keeps those.",
      [](text, text value, daemon_settings& settings) {
        return StoreNumber(value, settings.control.peers_port);
      }},
--- a/src/wire/control_client.cc
+++ b/src/wire/control_client.cc
@@ -24,8 +24,6 @@
 constexpr duration kSuspectDuration = std::chrono::seconds(5);
 // Time before a lost registrar is tried again.
 constexpr duration kLostRegistrarDelay = std::chrono::seconds(3);
-// Interval at which a waiting user checks whether a registrar is connected.
-constexpr duration kRegistrarCheckInterval = std::chrono::milliseconds(10);
 // Limit of known control VMs, including those that have been replaced.
 constexpr std::size_t kMaxChannels = 64;
 // Time limit for the reply of one control VM, before another one is tried.
@@ -199,15 +197,6 @@
   return channels_[registrar_]->Link().Peer();
 }
 
-std::optional<endpoint> control_client::WaitForRegistrar(time_point deadline) {
-  while (true) {
-    const message_link& link = channels_[registrar_]->Link();
-    if (link.IsUp()) return link.Peer();
-    if (clock_.Now() >= deadline) return std::nullopt;
-    io_loop::SleepFor(kRegistrarCheckInterval);
-  }
-}
-
 bool control_client::SendToRegistrar(const message& content) {
   return channels_[registrar_]->Link().TrySend(content);
 }
--- a/src/wire/control_client.h
+++ b/src/wire/control_client.h
@@ -78,10 +78,6 @@
   // Returns the address of the registrar, which need not be connected.
   [[nodiscard]] const endpoint& Registrar() const;
 
-  // Waits until a registrar is connected and returns its address, or
-  // std::nullopt if none is by `deadline`.
-  std::optional<endpoint> WaitForRegistrar(time_point deadline);
-
   // Sends `content` to the registrar. Returns false if it is not connected or
   // the send queue is full.
   bool SendToRegistrar(const message& content);
