--- a/include/hornbeam/platform_codec.h
+++ b/include/hornbeam/platform_codec.h
@@ -175,9 +175,6 @@
       const routing_reply& reply) const = 0;
   [[nodiscard]] virtual http_response WriteRoutingTable(
       const routing_table& table) const = 0;
-  // Redirects to the control VM at `address`, "ip:port".
-  [[nodiscard]] virtual http_response WriteRedirect(
-      std::string_view address, const http_request& request) const = 0;
   // Reports that the state cannot be determined now; the operator may retry.
   [[nodiscard]] virtual http_response WriteUnavailable(
       std::string_view reason) const = 0;
