--- /dev/null
+++ b/review/10/run.sh
@@ -0,0 +1,7 @@
+#!/bin/sh
+# Exit 1: the rule was broken, 0: it held, 2: the case could not run.
+here=$(cd "$(dirname "$0")" && pwd) || exit 2
+root=$(cd "$here/../.." && pwd) || exit 2
+program="$root/target/review-2/$(basename "$here")"
+[ -x "$program" ] && [ -x "$root/target/bin/hornbeamd-platform" ] || exit 2
+exec "$program" "$root" "$here"
--- a/review/common-2/stage.h
+++ b/review/common-2/stage.h
@@ -541,25 +541,37 @@
   [[nodiscard]] const std::filesystem::path& Folder() const { return folder_; }
 
   void StartControls() {
-    for (int i = 0; i < 3; ++i) {
-      const std::string name = "core-" + std::to_string(i);
-      std::string settings =
-          "[process]\nrole = control\nname = " + name +
-          "\nregion = r\navailability_zone = zone-" + std::string(1, 'a' + i) +
-          "\n\n[listen]\npeers = " + Host(11 + i) + ":" +
-          std::to_string(kPeers) + "\nlocal = " + Host(11 + i) + ":" +
-          std::to_string(kPeers + 1) + "\noperators = " + Operators(i).Text() +
-          "\n\n[control]\naddresses = " + Seeds() +
-          "\npeers_port = " + std::to_string(kPeers) +
-          "\nmay_found = 1\ntolerated_losses = 1\nheartbeat_ms = 150\n"
-          "election_timeout_ms = 700\nisolation_limit_ms = 900\n"
-          "staleness_limit_ms = 2000\n\n[storage]\ndata_folder = " +
-          (folder_ / (name + "-data")).string() +
-          "\n\n[log]\nfile = -\n\n[limits]\nlease_interval_ms = 1000\n"
-          "lease_duration_ms = 4000\n";
-      controls_.push_back(MakeProcess(name, settings));
-      controls_.back()->Start();
-    }
+    for (int i = 0; i < 3; ++i) AddControl(i, true, {0, 1, 2});
+  }
+  // Starts control VM `index`, at an address of its own, with the given ones as
+  // seeds. `bootstrap` is true only where the whole system starts for the first
+  // time with empty disks.
+  void AddControl(int index, bool bootstrap, const std::vector<int>& seeds) {
+    const std::string name = "core-" + std::to_string(index);
+    const std::string host = Host(11 + index);
+    const std::string settings =
+        "[process]\nrole = control\nname = " + name +
+        "\nregion = r\navailability_zone = zone-" +
+        std::string(1, static_cast<char>('a' + index % 3)) +
+        "\n\n[listen]\npeers = " + host + ":" + std::to_string(kPeers) +
+        "\nlocal = " + host + ":" + std::to_string(kPeers + 1) +
+        "\noperators = " + Operators(index).Text() +
+        "\n\n[control]\naddresses = " + Seeds(seeds) +
+        "\npeers_port = " + std::to_string(kPeers) +
+        "\nmay_found = " + (bootstrap ? "1" : "0") +
+        "\ntolerated_losses = 1\nheartbeat_ms = 150\n"
+        "election_timeout_ms = 700\nisolation_limit_ms = 900\n"
+        "staleness_limit_ms = 2000\n\n[storage]\ndata_folder = " +
+        DataFolder(index).string() +
+        "\n\n[log]\nfile = -\n\n[limits]\nlease_interval_ms = 1000\n"
+        "lease_duration_ms = 4000\n";
+    if (static_cast<std::size_t>(index) >= controls_.size())
+      controls_.resize(static_cast<std::size_t>(index) + 1);
+    controls_[index] = MakeProcess(name, settings);
+    controls_[index]->Start();
+  }
+  [[nodiscard]] std::filesystem::path DataFolder(int control) const {
+    return folder_ / ("core-" + std::to_string(control) + "-data");
   }
   int AddNode(const node_options& options) {
     const int index = static_cast<int>(nodes_.size());
@@ -590,11 +602,12 @@
 
   // Sends an order as the operator does, to each control VM in turn, until it
   // has a clear answer; returns its status, 0 after `limit_ms`.
-  int Order(const std::string& path, const std::string& body, double limit_ms) {
+  int Order(const std::string& path, const std::string& body, double limit_ms,
+            const std::vector<int>& controls = {0, 1, 2}) {
     const double until = NowMs() + limit_ms;
-    for (int i = 0; NowMs() < until; i = (i + 1) % 3) {
+    for (std::size_t i = 0; NowMs() < until; i = (i + 1) % controls.size()) {
       const int status =
-          CallOnce(Operators(i), "POST", path, body, 1000).Status();
+          CallOnce(Operators(controls[i]), "POST", path, body, 1000).Status();
       if (status == 200 || (status >= 400 && status < 500)) return status;
       SleepMs(50);
     }
@@ -622,9 +635,11 @@
   static constexpr int kOutbound = 8304;
   static constexpr int kControl = 8306;
 
-  std::string Seeds() const {
-    return Operators(0).Text() + "," + Operators(1).Text() + "," +
-           Operators(2).Text();
+  std::string Seeds(const std::vector<int>& controls = {0, 1, 2}) const {
+    std::string text;
+    for (const int each : controls)
+      text += (text.empty() ? "" : ",") + Operators(each).Text();
+    return text;
   }
   std::unique_ptr<process> MakeProcess(const std::string& name,
                                        const std::string& settings) {
