--- a/review/10/main.cc
+++ b/review/10/main.cc
@@ -1,16 +1,17 @@
-// A control VM is exchanged by plan. Then one other control VM loses its disk,
-// right after a manifest was acknowledged. The control group never comes back.
+// A node that is stopped and started again forgets that its target has
+// deregistered; a report of the target that arrives late brings the target
+// back.
 #include "stage_site.h"
 
 using namespace stage;
 
 namespace {
 
-constexpr double kCatchUpMs = 4000;    // catchUpS
-constexpr double kGraceMs = 6000;      // graceS
-constexpr double kRecoveryMs = 15000;  // recoveryS
-constexpr double kReadForMs = 40000;   // How long the operator reads back.
-constexpr double kDarkMs = 1500;       // How long the machine is down.
+constexpr int kClients = 12;
+constexpr double kDrainMs = 2000;         // drainS
+constexpr double kStableWindowMs = 3000;  // stableWindowS
+constexpr double kReportDelayMs = 5000;   // How late the report arrives.
+constexpr double kServesOnMs = 14000;     // How long the target serves on.
 
 }  // namespace
 
@@ -23,78 +24,112 @@
   site.StartControls();
   const int a =
       site.AddNode({.name = "side-a", .zone = "zone-a", .service = "guichet"});
-  target desk("i-guichet", "guichet", site.App(a), site.NodeControl(a),
-              [](const http_message&) { return 30.0; });
-  if (!desk.Start()) return kCouldNotRun;
-  const std::string first =
-      Manifest({{"r-lookup", "/lookup/", "safe", 1.0, "guichet"}}, {"guichet"});
-  if (site.Order("/hornbeamlb/Config.Replace", first, 15000) != 200 ||
-      !site.WaitReady(a, 10000))
+  const int b =
+      site.AddNode({.name = "side-b", .zone = "zone-b", .service = "dossiers"});
+  const int c =
+      site.AddNode({.name = "side-c", .zone = "zone-c", .service = "dossiers"});
+  const auto work = [](const http_message&) { return 60.0; };
+  target leaving("i-leaving", "dossiers", site.App(b), site.NodeControl(b),
+                 work);
+  target staying("i-staying", "dossiers", site.App(c), site.NodeControl(c),
+                 work);
+  if (!leaving.Start() || !staying.Start()) return kCouldNotRun;
+  const std::string manifest =
+      Manifest({{"r-filing", "/filing/", "unsafe", 1.2, "dossiers"}},
+               {"guichet", "dossiers"});
+  if (site.Order("/hornbeamlb/Config.Replace", manifest, 15000) != 200 ||
+      !site.WaitReady(a, 10000) || !site.WaitReady(b, 10000) ||
+      !site.WaitReady(c, 10000))
     return kCouldNotRun;
-  SleepMs(4000);
+  SleepMs(4000);  // More than stableWindowS: all machines are in touch.
 
-  RECORD("core-3 is added, with an empty disk, at a new address");
-  site.AddControl(3, false, {0, 1, 2});
-  SleepMs(2 * kCatchUpMs);  // Twice what the successor needs by the pages.
-  RECORD("core-2 gets SIGTERM; it is removed for good");
-  site.Control(2).Signal(SIGTERM);
-  if (!site.Control(2).WaitEnd(kGraceMs)) site.Control(2).Kill();
-  RECORD("core-2 has ended");
+  std::atomic<bool> stopped = false;
+  std::atomic<int> served = 0;
+  const auto consume = [&](int number) {
+    std::mt19937 random(static_cast<unsigned>(number));
+    int fd = -1;
+    std::string buffer;
+    while (!stopped) {
+      SleepMs(150 + static_cast<double>(random() % 300));
+      if (fd >= 0 && HasEnded(fd)) {
+        ::close(fd);
+        fd = -1;
+      }
+      if (fd < 0) {
+        buffer.clear();
+        fd = Connect(site.Callers(a));
+        if (fd < 0) continue;
+      }
+      const std::string id = RandomId();
+      const double sent_at = NowMs();
+      http_message answer;
+      if (WriteAll(fd, Request("POST", "/filing/x", id, 1200, "form")))
+        answer = ReadMessage(fd, buffer, 2500);
+      RECORD("filing %s sent at %.1f to side-a: status %d", id.c_str(), sent_at,
+             answer.Status());
+      served += answer.Status() == 200 ? 1 : 0;
+      if (!answer.whole || SameName(answer.Field("Connection"), "close")) {
+        ::close(fd);
+        fd = -1;
+      }
+    }
+    if (fd >= 0) ::close(fd);
+  };
+  std::vector<std::thread> consumers;
+  for (int i = 0; i < kClients; ++i) consumers.emplace_back(consume, i);
+  SleepMs(3000);
 
-  // The operator changes the manifest and gets the confirmation.
-  std::string second = first;
-  second.replace(second.find("\"r1\""), 4, "\"r3\"");
-  second.replace(second.find("\"baseVersion\":\"r0\""), 18,
-                 "\"baseVersion\":\"r1\"");
-  const int status =
-      site.Order("/hornbeamlb/Config.Replace", second, 4000, {0, 1, 3});
-  RECORD("manifest r3 sent: %d", status);
-  if (status != 200) return kCouldNotRun;
-  const double acknowledged_at = NowMs();
+  // The target's last report is held up on its way.
+  const std::string report = leaving.BeatBody("ready");
+  const double reported_at = NowMs();
+  RECORD("i-leaving sends a report, which is held up");
+  std::thread late([&] {
+    SleepUntilMs(reported_at + kReportDelayMs);
+    const int status =
+        CallOnce(site.NodeControl(b), "POST", leaving.BeatPath(), report, 1000)
+            .Status();
+    RECORD("the report of i-leaving from %.1f arrives at side-b: %d",
+           reported_at, status);
+  });
+  SleepMs(100);
+  const bool confirmed = leaving.Deregister();
+  const double confirmed_at = NowMs();
+  RECORD("i-leaving deregisters at side-b: %s",
+         confirmed ? "confirmed" : "not confirmed");
+  SleepMs(200);
+  double started_at = confirmed_at;
   if (HasTrouble()) {
-    RECORD("core-1 is killed and loses its disk");
-    site.Control(1).Kill();
-    std::error_code ignored;
-    std::filesystem::remove_all(site.DataFolder(1), ignored);
-    SleepMs(kDarkMs);
-    RECORD("core-1 is started again with an empty disk");
-    site.AddControl(1, false, {0, 1, 3});
+    RECORD("side-b gets SIGTERM");
+    site.Node(b).Signal(SIGTERM);
+    // graceS is 6 s.
+    if (!site.Node(b).WaitEnd(6000)) site.Node(b).Kill();
+    RECORD("side-b has ended");
+    SleepMs(200);
+    site.Node(b).Start();
+    started_at = NowMs();
+    RECORD("side-b is started again");
   }
+  late.join();
+  SleepUntilMs(confirmed_at + kServesOnMs);
+  stopped = true;
+  for (auto& each : consumers) each.join();
+  leaving.Stop();
 
-  // Reads the manifest back from every control VM that runs.
-  double back_at = 0;
-  std::string read;
-  while (NowMs() < acknowledged_at + kReadForMs && back_at == 0) {
-    for (const int each : {0, 1, 3}) {
-      const http_message answer = CallOnce(site.Operators(each), "GET",
-                                           "/hornbeamlb/Config.Get", "", 1000);
-      RECORD("read at core-%d: %d", each, answer.Status());
-      if (answer.Status() != 200) continue;
-      back_at = NowMs();
-      read = answer.body;
-      break;
-    }
-    SleepMs(500);
-  }
-  const bool newest = read.find("\"r3\"") != std::string::npos;
-  std::string next = second;
-  next.replace(next.find("\"r3\""), 4, "\"r5\"");
-  next.replace(next.find("\"baseVersion\":\"r1\""), 18,
-               "\"baseVersion\":\"r3\"");
-  const int changed =
-      site.Order("/hornbeamlb/Config.Replace", next, 8000, {0, 1, 3});
-  RECORD("manifest r5 sent: %d", changed);
-  if (back_at > 0) {
-    RECORD("manifest read back %.1f s after the confirmation: %s",
-           (back_at - acknowledged_at) / 1000, newest ? "r3" : "not r3");
-  } else {
-    RECORD("the manifest did not come for %.0f s", kReadForMs / 1000);
+  // DRAIN: by machines in touch only, so what came while side-b was stopped or
+  // within stableWindowS of its start does not count.
+  const double from =
+      std::max(confirmed_at + kDrainMs, started_at + kStableWindowMs);
+  int broken = 0;
+  for (const run& each : leaving.Runs()) {
+    if (each.at_ms <= from) continue;
+    ++broken;
+    RECORD("DRAIN: %s reached i-leaving %.1f s after the confirmation",
+           each.id.c_str(), (each.at_ms - confirmed_at) / 1000);
   }
-  std::printf("read back %s, next change %d\n",
-              back_at > 0 ? (newest ? "r3" : "another version") : "never",
-              changed);
-  desk.Stop();
-  const bool in_time =
-      back_at > 0 && back_at < acknowledged_at + kDarkMs + kRecoveryMs + 5000;
-  return in_time && newest ? kHeld : kBroken;
+  RECORD("%d filings served, %d reached the target that had deregistered",
+         served.load(), broken);
+  std::printf("served %d, reached the deregistered target %d\n", served.load(),
+              broken);
+  if (!confirmed || served == 0) return kCouldNotRun;
+  return broken > 0 ? kBroken : kHeld;
 }
