--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -65,6 +65,12 @@
      "The list of control VMs that this node may use changed."},
     {event_id::kRegistrarConnected, "registrar_connected", kInfo,
      "The node has a control VM as registrar, which answered its hello."},
+    {event_id::kDeparturesLoaded, "departures_loaded", kInfo,
+     "The node has read which upstreams it had confirmed as leaving before "
+     "its start; until then it uses no upstream."},
+    {event_id::kDepartureRecorded, "departure_recorded", kInfo,
+     "The node had the leave of its upstream recorded by a quorum of control "
+     "VMs; it confirms the leave only if `recorded` is true."},
     {event_id::kClaimEnded, "claim_ended", kInfo,
      "The verdict on a copy of a non-idempotent call is known."},
     {event_id::kSettingsAccepted, "settings_accepted", kInfo,
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -39,6 +39,8 @@
   kUpstreamStateChanged = 3006,
   kControlListChanged = 3007,
   kRegistrarConnected = 3008,
+  kDeparturesLoaded = 3009,
+  kDepartureRecorded = 3010,
   // Ledger.
   kClaimEnded = 4003,
   // Settings.
--- a/src/controllers/instance_handler.cc
+++ b/src/controllers/instance_handler.cc
@@ -9,11 +9,20 @@
 
 namespace hornbeam {
 
-instance_handler::instance_handler(const platform_codec& codec, event_log& log,
+namespace {
+
+// An upstream waits for one second for the acknowledgement.
+constexpr duration kAcknowledgementTimeout = std::chrono::milliseconds(800);
+
+}  // namespace
+
+instance_handler::instance_handler(const clock_source& clock,
+                                   const platform_codec& codec, event_log& log,
                                    instance_server& server,
                                    std::function<bool()> is_ready,
                                    std::function<std::string()> format_metrics)
-    : codec_(codec),
+    : clock_(clock),
+      codec_(codec),
       log_(log),
       server_(server),
       is_ready_(std::move(is_ready)),
@@ -48,12 +57,16 @@
                {{"target", request.target}, {"reason", error.reason}});
     return codec_.WriteError(error);
   }
-  if (announced != nullptr) {
-    server_.Announce(*announced);
-  } else {
-    server_.Withdraw(*withdrawn);
-  }
-  return codec_.WriteAcknowledgement();
+  const time_point deadline = clock_.Now() + kAcknowledgementTimeout;
+  const bool is_durable = announced != nullptr
+                              ? server_.AnnounceDurably(*announced, deadline)
+                              : server_.WithdrawDurably(*withdrawn, deadline);
+  if (is_durable) return codec_.WriteAcknowledgement();
+  constexpr std::string_view kNotDurable =
+      "the control VMs could not be reached in time";
+  log_.Write(event_id::kAnnouncementRejected,
+             {{"target", request.target}, {"reason", kNotDurable}});
+  return codec_.WriteUnavailable(kNotDurable);
 }
 
 }  // namespace hornbeam
--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -17,9 +17,6 @@
 
 namespace {
 
-// Upstreams slow down when nearly all of their slots are taken; up to this
-// share they work at full speed.
-constexpr double kFullSpeedShare = 0.8;
 // Longer backlogs are reported as this value.
 constexpr std::uint64_t kMaxBacklogUs = 60'000'000;
 // The queue drops a call by its deadline; the grace period covers late
@@ -32,12 +29,6 @@
 constexpr duration kSlowdownCheckInterval = std::chrono::milliseconds(15);
 constexpr double kWholePercent = 100;
 constexpr unsigned kFirstServerErrorStatus = 500;
-// Longer names of instances and services are rejected; they travel in every
-// lease and load report.
-constexpr std::size_t kMaxNameBytes = 256;
-constexpr std::size_t kHealthAnswerBytes = 64UL * 1024;
-constexpr std::string_view kEarlierIncarnation =
-    "it is of an earlier incarnation of this instance";
 // Minimum time between two updates of the waiting calls.
 constexpr duration kMinAdvanceInterval = std::chrono::milliseconds(2);
 
@@ -52,7 +43,8 @@
       log_(log),
       self_(self),
       codec_(codec),
-      options_(options) {}
+      options_(options),
+      departures_(clock, log, self.name, options.departures) {}
 
 instance_server::~instance_server() = default;
 
@@ -61,12 +53,17 @@
     std::function<void(const instance_announcement&, bool)> on_change) {
   fibers_ = &fibers;
   on_change_ = std::move(on_change);
+  departures_.Start(fibers, [this] {
+    if (held_announcement_) Announce(*held_announcement_);
+    held_announcement_.reset();
+  });
   fibers.Start([this] { HealthLoop(); });
   fibers.Start([this] { AdvanceLoop(); });
 }
 
 void instance_server::Stop() {
   stopped_ = true;
+  departures_.Stop();
   changed_.notify_all();
 }
 
@@ -74,146 +71,6 @@
   return upstream_ ? upstream_->announced.service : std::string();
 }
 
-// ---- Announcements of the upstream ----
-
-std::optional<std::string_view> instance_server::RejectionReason(
-    const instance_withdrawal& withdrawn) const {
-  if (IsEarlierIncarnation(withdrawn.instance, withdrawn.started_at_ms))
-    return kEarlierIncarnation;
-  return std::nullopt;
-}
-
-bool instance_server::IsEarlierIncarnation(std::string_view instance,
-                                           std::int64_t started_at_ms) const {
-  return upstream_ && upstream_->announced.instance == instance &&
-         started_at_ms != 0 &&
-         started_at_ms < upstream_->announced.started_at_ms;
-}
-
-std::optional<std::string_view> instance_server::RejectionReason(
-    const instance_announcement& announced) const {
-  if (announced.instance.empty() || announced.instance.size() > kMaxNameBytes)
-    return "the instance's id is empty or too long";
-  if (announced.service.size() > kMaxNameBytes)
-    return "the service's name is too long";
-  const auto address = endpoint::Parse(announced.address);
-  if (!address || address->port == 0)
-    return "the address is no IP number with a port";
-  if (options_.upstream && *address != *options_.upstream)
-    return "the address is not that of this node's upstream";
-  const bool is_known = announced.service == options_.service ||
-                        (options_.is_known_service &&
-                         options_.is_known_service(announced.service));
-  if (!is_known) return "the service is unknown";
-  if (IsEarlierIncarnation(announced.instance, announced.started_at_ms))
-    return kEarlierIncarnation;
-  return std::nullopt;
-}
-
-void instance_server::Announce(const instance_announcement& announced) {
-  if (RejectionReason(announced)) return;
-  if (IsStale(announced)) {
-    log_.Write(event_id::kAnnouncementRejected,
-               {{"instance", announced.instance},
-                {"started_at_ms", announced.started_at_ms},
-                {"sequence", announced.sequence},
-                {"reason", "a later incarnation is known, or it has left"}});
-    return;
-  }
-  const bool is_same_id =
-      upstream_ && upstream_->announced.instance == announced.instance;
-  const bool is_first_announcement =
-      is_same_id && upstream_->found_by_health_check;
-  const bool is_same = is_same_id && (is_first_announcement ||
-                                      upstream_->announced.started_at_ms ==
-                                          announced.started_at_ms);
-  if (!is_same) {
-    ReplaceUpstream(announced);
-    return;
-  }
-  const bool is_newer = announced.sequence > upstream_->announced.sequence;
-  if (!is_first_announcement && !is_newer) return;
-  upstream_->found_by_health_check = false;
-  upstream_->cold_until = clock_.Now() + announced.cold_start_remaining;
-  const bool drains = announced.draining && !upstream_->drained;
-  upstream_->announced = announced;
-  if (drains) DrainUpstream(*upstream_);
-}
-
-// An incarnation of another id that started earlier is stale unless it answers
-// the health checks: then the later announcement was wrong.
-bool instance_server::IsStale(const instance_announcement& announced) const {
-  const bool has_left = withdrawn_ &&
-                        withdrawn_->instance == announced.instance &&
-                        announced.started_at_ms <= withdrawn_->started_at_ms;
-  if (has_left) return true;
-  if (!upstream_) return false;
-  return announced.started_at_ms < upstream_->announced.started_at_ms &&
-         upstream_->answering_instance != announced.instance;
-}
-
-void instance_server::ReplaceUpstream(const instance_announcement& announced) {
-  const auto address = endpoint::Parse(announced.address);
-  if (!address) return;
-  if (upstream_)
-    upstream_->Notify(upstream_->queue.Clear(), wait_result::kDrained);
-  upstream_ = std::make_shared<upstream_lifecycle>();
-  upstream_->announced = announced;
-  upstream_->cold_until = clock_.Now() + announced.cold_start_remaining;
-  upstream_->address = *address;
-  upstream_->client = http_client::MakeHttpClient(
-      loop_, address->host, address->port,
-      http_client_options{
-          .answer_limit_bytes = options_.answer_limit_bytes,
-          .total_answer_limit_bytes = options_.total_answer_limit_bytes,
-          .echoed_field = std::string(codec_.EchoedField())},
-      clock_);
-  upstream_->health_client = MakeHealthClient(*address);
-  const auto limit =
-      static_cast<std::uint32_t>(std::floor(kFullSpeedShare * announced.slots));
-  upstream_->queue.SetLimits(std::max(limit, 1U), announced.slots);
-  upstream_->drained = announced.draining;
-  log_.Write(event_id::kUpstreamStateChanged,
-             {{"instance", announced.instance},
-              {"service", announced.service},
-              {"state", announced.draining ? "draining" : "ready"},
-              {"started_at_ms", announced.started_at_ms}});
-  on_change_(announced, announced.draining);
-}
-
-std::unique_ptr<http_client> instance_server::MakeHealthClient(
-    const endpoint& address) {
-  return http_client::MakeHttpClient(
-      loop_, address.host, address.port,
-      http_client_options{.answer_limit_bytes = kHealthAnswerBytes,
-                          .total_answer_limit_bytes = kHealthAnswerBytes},
-      clock_);
-}
-
-void instance_server::Withdraw(const instance_withdrawal& withdrawn) {
-  if (RejectionReason(withdrawn)) return;
-  const bool is_newer_leave =
-      !withdrawn_ || withdrawn_->instance != withdrawn.instance ||
-      withdrawn_->started_at_ms < withdrawn.started_at_ms;
-  if (is_newer_leave) withdrawn_ = withdrawn;
-  const bool is_known =
-      upstream_ && upstream_->announced.instance == withdrawn.instance &&
-      (withdrawn.started_at_ms == 0 ||
-       withdrawn.started_at_ms >= upstream_->announced.started_at_ms);
-  if (is_known && !upstream_->drained) DrainUpstream(*upstream_);
-}
-
-void instance_server::DrainUpstream(upstream_lifecycle& upstream) {
-  upstream.drained = true;
-  upstream.Notify(upstream.queue.Clear(), wait_result::kDrained);
-  log_.Write(event_id::kUpstreamStateChanged,
-             {{"instance", upstream.announced.instance},
-              {"service", upstream.announced.service},
-              {"state", "draining"},
-              {"running", upstream.queue.Running()}});
-  on_change_(upstream.announced, true);
-}
-
 // ---- Calls ----
 
 served_call instance_server::Serve(inbound_call& call) {
@@ -426,7 +283,7 @@
 void instance_server::HealthLoop() {
   while (!stopped_) {
     const auto upstream = upstream_;
-    if (upstream && !upstream->drained) CheckHealth(upstream);
+    if (upstream && NeedsHealthChecks(*upstream)) CheckHealth(upstream);
     if (!upstream) FindUpstream();
     const time_point checked_at = clock_.Now();
     std::unique_lock lock(mutex_);
@@ -445,19 +302,35 @@
   }
 }
 
+// A later incarnation of an upstream that left without a known start is known
+// by its health checks.
+bool instance_server::NeedsHealthChecks(
+    const upstream_lifecycle& upstream) const {
+  if (!upstream.drained) return true;
+  const auto departure = departures_.Find(upstream.announced.instance);
+  return departure && !departure->start_known;
+}
+
 // Looks for an upstream that already runs. After a restart of this process
 // alone the upstream keeps running, and its next announcement may be a second
 // away.
 void instance_server::FindUpstream() {
-  if (!options_.upstream) return;
+  if (!options_.upstream || !departures_.IsLoaded()) return;
   const endpoint& address = *options_.upstream;
   const auto client = MakeHealthClient(address);
+  const std::uint64_t departures_before = departure_count_;
   cancel_source never;
   const auto answer =
       client->Call({.method = "GET", .target = health_path_},
                    clock_.Now() + options_.health_timeout, never);
-  if (!answer || upstream_) return;
+  if (upstream_ || departure_count_ != departures_before) return;
+  found_instance_.clear();
+  if (!answer) return;
   const health_answer health = codec_.ReadHealth(answer.value());
+  found_instance_ = health.healthy ? health.instance : std::string();
+  // A later incarnation with the same id cannot be told from one that has left
+  // before it announces itself.
+  if (departures_.Find(health.instance)) return;
   const bool is_usable = health.healthy && !health.instance.empty() &&
                          health.load && health.load->slots > 0;
   if (!is_usable) return;
@@ -471,6 +344,7 @@
 void instance_server::CheckHealth(
     const std::shared_ptr<upstream_lifecycle>& upstream) {
   cancel_source never;
+  const std::uint64_t departures_before = departure_count_;
   const http_request request{.method = "GET", .target = health_path_};
   const auto answer = upstream->health_client->Call(
       request, clock_.Now() + options_.health_timeout, never);
@@ -485,8 +359,9 @@
   if (answer) {
     health_answer health = codec_.ReadHealth(answer.value());
     load = health.load;
-    if (health.healthy)
-      upstream->answering_instance = std::move(health.instance);
+    const bool proves_use =
+        health.healthy && departure_count_ == departures_before;
+    if (proves_use) upstream->answering_instance = std::move(health.instance);
   }
   const time_point now = clock_.Now();
   upstream->reports_load = load.has_value();
--- a/src/controllers/instance_server.h
+++ b/src/controllers/instance_server.h
@@ -10,6 +10,7 @@
 #include <string>
 #include <string_view>
 
+#include "controllers/departure_tracker.h"
 #include "hornbeam/clock_source.h"
 #include "hornbeam/platform_codec.h"
 #include "wire/call_server.h"
@@ -17,6 +18,7 @@
 
 namespace hornbeam {
 
+class departure_store;
 class event_log;
 class fiber_group;
 class http_client;
@@ -37,6 +39,9 @@
   // Returns whether the routing table names a service. An announcement of
   // another service than that and `service` is rejected.
   std::function<bool(std::string_view)> is_known_service;
+  // Where confirmed departures outlast this process; may be null. Outlives the
+  // server.
+  departure_store* departures = nullptr;
 };
 
 // The only process that dispatches calls to its upstream, and therefore the
@@ -64,9 +69,16 @@
   [[nodiscard]] std::optional<std::string_view> RejectionReason(
       const instance_withdrawal& withdrawn) const;
   // Applies an announcement or a withdrawal of the upstream. Ignores one that
-  // is older than the known state or names no usable upstream.
+  // is older than the known state or names no usable upstream. An announcement
+  // waits until the recorded departures have been read.
   void Announce(const instance_announcement& announced);
   void Withdraw(const instance_withdrawal& withdrawn);
+  // Apply it as well, and return whether it may be acknowledged by `deadline`:
+  // only once it is applied and the departure that it states is durable.
+  bool AnnounceDurably(const instance_announcement& announced,
+                       time_point deadline);
+  bool WithdrawDurably(const instance_withdrawal& withdrawn,
+                       time_point deadline);
   // Sets the path at which the upstream answers health checks.
   void SetHealthPath(std::string path) { health_path_ = std::move(path); }
 
@@ -89,6 +101,8 @@
       const std::shared_ptr<upstream_lifecycle>& upstream, inbound_call& call);
   void UpdateQueuePause(upstream_lifecycle& upstream, time_point now);
   void HealthLoop();
+  [[nodiscard]] bool NeedsHealthChecks(
+      const upstream_lifecycle& upstream) const;
   void CheckHealth(const std::shared_ptr<upstream_lifecycle>& upstream);
   [[nodiscard]] std::unique_ptr<http_client> MakeHealthClient(
       const endpoint& address);
@@ -99,6 +113,11 @@
   // Returns whether `announced` is of an incarnation that is not the newest, or
   // has left.
   [[nodiscard]] bool IsStale(const instance_announcement& announced) const;
+  [[nodiscard]] bool HasLeft(const instance_announcement& announced) const;
+  // Returns the instance that answered the last health check as healthy; empty
+  // if none did.
+  [[nodiscard]] std::string_view AnsweringInstance() const;
+  void HoldAnnouncement(const instance_announcement& announced);
   void ReplaceUpstream(const instance_announcement& announced);
   void DrainUpstream(upstream_lifecycle& upstream);
   [[nodiscard]] load_report Report();
@@ -112,8 +131,14 @@
   fiber_group* fibers_ = nullptr;
   std::function<void(const instance_announcement&, bool)> on_change_;
   std::string health_path_ = "/health";
-  // The latest leave, also of an upstream that was not known then.
-  std::optional<instance_withdrawal> withdrawn_;
+  // Also of upstreams that were not known when they left.
+  departure_tracker departures_;
+  // The newest announcement that waits for the departures to be read.
+  std::optional<instance_announcement> held_announcement_;
+  // Answered the last health check while no upstream was known.
+  std::string found_instance_;
+  // Increases with each leave. A health check that began before proves nothing.
+  std::uint64_t departure_count_ = 0;
   std::shared_ptr<upstream_lifecycle> upstream_;
   std::uint64_t report_sequence_ = 0;
   std::size_t running_ = 0;
--- a/src/daemon/routed_node_daemon.cc
+++ b/src/daemon/routed_node_daemon.cc
@@ -11,6 +11,7 @@
 #include "base/process_metrics.h"
 #include "base/seeded_random_source.h"
 #include "base/system_clock_source.h"
+#include "controllers/departure_store.h"
 #include "controllers/fleet_directory.h"
 #include "controllers/instance_handler.h"
 #include "controllers/instance_server.h"
@@ -106,6 +107,7 @@
             loop_, clock_, self_, settings.control_addresses,
             NearestControl(settings), &directory_,
             ControlSilenceTimeout(settings.limits))),
+        departures_(departure_store::MakeReplicatedStore(clock_, *control_)),
         server_(loop_, clock_, log, self_, codec,
                 instance_server_options{
                     .answer_limit_bytes = settings.limits.response_body_bytes,
@@ -118,7 +120,8 @@
                           const auto table = directory_.Table();
                           return table && table->Table().services.contains(
                                               std::string(service));
-                        }}),
+                        },
+                    .departures = departures_.get()}),
         terms_(ReadTerms(settings, codec)),
         ingress_(loop_, clock_, random_, log, self_,
                  settings.process.availability_zone, codec, directory_, server_,
@@ -128,7 +131,7 @@
                    .body_limit_bytes = settings.limits.request_body_bytes,
                    .answer_store_bytes = settings.limits.response_body_bytes}),
         handler_(
-            codec, log, server_,
+            clock_, codec, log, server_,
             [this] { return !stopping_ && directory_.IsReady(); },
             [this] {
               process_metrics_.Sample();
@@ -324,6 +327,7 @@
   stop_signals signals_;
   fleet_directory directory_;
   std::unique_ptr<control_client> control_;
+  std::unique_ptr<departure_store> departures_;
   instance_server server_;
   const platform_terms terms_;
   routed_ingress ingress_;
--- a/src/routing/routing_codec.cc
+++ b/src/routing/routing_codec.cc
@@ -1,6 +1,7 @@
 #include "routing/routing_codec.h"
 
 #include <cereal/types/map.hpp>
+#include <limits>
 
 #include "base/byte_archive.h"
 
@@ -8,6 +9,34 @@
 
 namespace {
 
+// Takes the place of a change id in the commands that are no changes. Changes
+// have ids of 128 random or hashed bits.
+constexpr request_id kDepartureMark{
+    .high = std::numeric_limits<std::uint64_t>::max(),
+    .low = std::numeric_limits<std::uint64_t>::max()};
+// Follows the numbers of routing_query.
+constexpr std::uint8_t kDepartureQuery = 2;
+
+struct departure_command {
+  request_id mark = kDepartureMark;
+  upstream_departure departure;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(mark, departure);
+  }
+};
+
+struct departure_query {
+  std::uint8_t query = kDepartureQuery;
+  std::string node;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(query, node);
+  }
+};
+
 template <class T>
 std::optional<T> Decode(std::string_view bytes) {
   auto decoded = DecodeBytes<T>(bytes);
@@ -63,4 +92,34 @@
   return Decode<std::uint64_t>(bytes);
 }
 
+std::string EncodeDeparture(const upstream_departure& departure) {
+  return EncodeBytes(departure_command{.departure = departure});
+}
+
+std::string EncodeDepartureQuery(std::string_view node) {
+  return EncodeBytes(departure_query{.node = std::string(node)});
+}
+
+std::string EncodeDepartures(
+    const std::vector<upstream_departure>& departures) {
+  return EncodeBytes(departures);
+}
+
+std::optional<upstream_departure> DecodeDeparture(std::string_view bytes) {
+  auto command = Decode<departure_command>(bytes);
+  if (!command || command->mark != kDepartureMark) return std::nullopt;
+  return std::move(command->departure);
+}
+
+std::optional<std::string> DecodeDepartureQuery(std::string_view bytes) {
+  auto query = Decode<departure_query>(bytes);
+  if (!query || query->query != kDepartureQuery) return std::nullopt;
+  return std::move(query->node);
+}
+
+std::optional<std::vector<upstream_departure>> DecodeDepartures(
+    std::string_view bytes) {
+  return Decode<std::vector<upstream_departure>>(bytes);
+}
+
 }  // namespace hornbeam
--- a/src/routing/routing_store.cc
+++ b/src/routing/routing_store.cc
@@ -11,7 +11,7 @@
 
 namespace hornbeam {
 
-struct routing_store::stored_state {
+struct routing_store::table_state {
   routing_table table;
   std::deque<request_id> accepted;
 
@@ -21,7 +21,22 @@
   }
 };
 
+struct routing_store::stored_state {
+  table_state changes;
+  std::deque<upstream_departure> departures;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(changes, departures);
+  }
+};
+
 std::string routing_store::Apply(const committed_entry& entry) {
+  if (auto departure = DecodeDeparture(entry.command)) {
+    departures_.Record(std::move(*departure));
+    return EncodeRoutingReply({.verdict = routing_verdict::kAccepted,
+                               .current_version = table_.version});
+  }
   const auto change = DecodeRoutingChange(entry.command);
   if (!change) {
     return EncodeRoutingReply({.current_version = table_.version,
@@ -59,20 +74,29 @@
 }
 
 std::string routing_store::Query(std::string_view query) const {
+  if (const auto node = DecodeDepartureQuery(query))
+    return EncodeDepartures(departures_.Of(*node));
   const auto decoded = DecodeRoutingQuery(query);
   if (decoded == routing_query::kTable) return EncodeRoutingTable(table_);
   return EncodeRoutingVersion(table_.version);
 }
 
 std::string routing_store::TakeSnapshot() const {
-  return EncodeBytes(stored_state{.table = table_, .accepted = accepted_ids_});
+  return EncodeBytes(
+      stored_state{.changes = {.table = table_, .accepted = accepted_ids_},
+                   .departures = departures_.All()});
 }
 
 bool routing_store::RestoreSnapshot(std::string_view snapshot) {
   auto state = DecodeBytes<stored_state>(snapshot);
-  if (!state) return false;
-  table_ = std::move(state.value().table);
-  accepted_ids_ = std::move(state.value().accepted);
+  if (!state) {
+    auto changes = DecodeBytes<table_state>(snapshot);
+    if (!changes) return false;
+    state = stored_state{.changes = std::move(changes).value()};
+  }
+  table_ = std::move(state.value().changes.table);
+  accepted_ids_ = std::move(state.value().changes.accepted);
+  departures_.Restore(std::move(state.value().departures));
   return true;
 }
 
--- a/src/routing/routing_store.h
+++ b/src/routing/routing_store.h
@@ -1,4 +1,5 @@
-// Replicated state machine that stores the routing table.
+// Replicated state machine that stores the routing table and the departures of
+// upstreams.
 #pragma once
 
 #include <cstddef>
@@ -10,12 +11,14 @@
 #include "base/state_machine.h"
 #include "hornbeam/routing_change.h"
 #include "hornbeam/routing_table.h"
+#include "routing/departure_table.h"
 
 namespace hornbeam {
 
 // Holds the newest accepted table and the ids of recently accepted changes, so
-// that an accepted change that is sent again is acknowledged again. Owned by
-// the replica host.
+// that an accepted change that is sent again is acknowledged again. Holds also
+// the departures that nodes have confirmed to their upstreams. Owned by the
+// replica host.
 class routing_store final : public state_machine {
  public:
   // Number of remembered ids: several days at one change a minute.
@@ -28,11 +31,14 @@
 
  private:
   struct stored_state;
+  // The state in snapshots from before there were departures.
+  struct table_state;
 
   routing_reply Change(const routing_change& change);
 
   routing_table table_;
   std::deque<request_id> accepted_ids_;  // The oldest first.
+  departure_table departures_;
 };
 
 }  // namespace hornbeam
--- a/src/wire/control_client.cc
+++ b/src/wire/control_client.cc
@@ -53,6 +53,9 @@
     link_.Start(fibers);
   }
 
+  // Keeps the connection open for requests even if it is not the registrar's.
+  void ServeRequests() { serves_requests_ = true; }
+
   // Closes the connection until its next use, unless it serves requests.
   void Suspend() {
     if (!serves_requests_) link_.Suspend();
@@ -80,7 +83,6 @@
                                         const message& request,
                                         time_point deadline) {
     EnsureStarted(*fibers_);
-    serves_requests_ = true;
     if (!link_.IsUp() && !link_.WaitUp(deadline)) {
       return store_error::kUnreachable;
     }
@@ -190,6 +192,7 @@
 }
 
 void control_client::Stop() {
+  stopped_ = true;
   for (const auto& each : channels_) each->Link().Stop();
 }
 
@@ -215,6 +218,8 @@
 result<std::string, store_error> control_client::Request(
     store_id store, store_operation operation, std::string_view bytes,
     time_point deadline) {
+  if (store == store_id::kRouting)
+    return RequestFromRegistrar(operation, bytes, deadline);
   store_request request{
       .store = store, .operation = operation, .bytes = std::string(bytes)};
   store_error last = store_error::kUnreachable;
@@ -222,7 +227,9 @@
   while (clock_.Now() < deadline) {
     request.correlation = next_correlation_++;
     request.may_forward = SkipSuspects(store);
-    attempt reply = TryOnce(*channels_[LeaderOf(store)], request, deadline);
+    channel& leader = *channels_[LeaderOf(store)];
+    leader.ServeRequests();
+    attempt reply = TryOnce(leader, request, deadline);
     if (reply.status == store_status::kDone) return std::move(reply.bytes);
     if (reply.status == store_status::kRejected) return store_error::kRejected;
     // Queries can be repeated; proposals only if certainly not accepted.
@@ -243,6 +250,32 @@
   return last;
 }
 
+result<std::string, store_error> control_client::RequestFromRegistrar(
+    store_operation operation, std::string_view bytes, time_point deadline) {
+  store_request request{.store = store_id::kRouting,
+                        .operation = operation,
+                        .may_forward = true,
+                        .bytes = std::string(bytes)};
+  store_error last = store_error::kUnreachable;
+  while (!stopped_ && clock_.Now() < deadline) {
+    channel& registrar = *channels_[registrar_];
+    if (registrar.Link().IsUp()) {
+      request.correlation = next_correlation_++;
+      attempt reply = TryOnce(registrar, request, deadline);
+      if (reply.status == store_status::kDone) return std::move(reply.bytes);
+      if (reply.status == store_status::kRejected)
+        return store_error::kRejected;
+      const bool may_be_accepted =
+          reply.sent && reply.status == store_status::kTimeout;
+      if (may_be_accepted && operation == store_operation::kPropose)
+        return store_error::kTimeout;
+      if (reply.sent) last = store_error::kNoQuorum;
+    }
+    io_loop::SleepFor(kRoundDelay);
+  }
+  return last;
+}
+
 control_client::attempt control_client::TryOnce(channel& target,
                                                 const store_request& request,
                                                 time_point deadline) {
@@ -266,8 +299,9 @@
 result<status_reply, store_error> control_client::Status(std::size_t index,
                                                          time_point deadline) {
   const status_request request{.correlation = next_correlation_++};
-  auto reply =
-      channels_.at(index)->Exchange(request.correlation, request, deadline);
+  channel& asked = *channels_.at(index);
+  asked.ServeRequests();
+  auto reply = asked.Exchange(request.correlation, request, deadline);
   if (!reply) return reply.error();
   return std::get<status_reply>(std::move(reply).value());
 }
--- a/src/wire/control_client.h
+++ b/src/wire/control_client.h
@@ -82,6 +82,8 @@
   // the send queue is full.
   bool SendToRegistrar(const message& content);
 
+  // Requests for the routing store go through the registrar, which forwards
+  // them to the leader, so that nodes need no further connection.
   result<std::string, store_error> Propose(store_id store,
                                            std::string_view command,
                                            time_point deadline) override;
@@ -112,6 +114,8 @@
                                            store_operation operation,
                                            std::string_view bytes,
                                            time_point deadline);
+  result<std::string, store_error> RequestFromRegistrar(
+      store_operation operation, std::string_view bytes, time_point deadline);
   attempt TryOnce(channel& target, const store_request& request,
                   time_point deadline);
   void FollowLeader(store_id store, const std::string& address);
@@ -138,6 +142,7 @@
   std::size_t settings_leader_;
   std::size_t ledger_leader_;
   std::uint64_t next_correlation_ = 1;
+  bool stopped_ = false;
 };
 
 }  // namespace hornbeam
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -291,10 +291,7 @@
   }
   ingress_ =
       StartNode("ingress", "desk", fmt::format("callers = {}\n", callers_));
-  serving_ = StartNode(
-      "serving", "history",
-      fmt::format("callers = {}\nannouncements = {}\nupstream = {}\n",
-                  serving_callers_, announcements_, upstream_address_));
+  serving_ = StartServingNode();
   announcer_ = std::thread([this] { AnnounceLoop(); });
   const auto is_serving = [this] {
     return platform_connection(callers_)
@@ -329,17 +326,61 @@
       .status;
 }
 
+std::unique_ptr<child_process> platform_site::StartServingNode() const {
+  return StartNode(
+      "serving", "history",
+      fmt::format("callers = {}\nannouncements = {}\nupstream = {}\n",
+                  serving_callers_, announcements_, upstream_address_));
+}
+
+bool platform_site::RestartServingNode(int signal) {
+  serving_->Signal(signal);
+  const bool ended =
+      serving_->WaitForExit(options_.stop_grace + std::chrono::seconds(1))
+          .has_value();
+  serving_ = StartServingNode();
+  return ended && serving_;
+}
+
+bool platform_site::WaitServingNodeReady() const {
+  return WaitUntil([this] {
+    return platform_connection(serving_callers_)
+               .Call("GET", "/none/", "Host: history.example\r\n")
+               .status == 404;
+  });
+}
+
+void platform_site::StopAnnouncing() {
+  stopped_ = true;
+  if (announcer_.joinable()) announcer_.join();
+}
+
+int platform_site::Announce(const std::string& instance, std::int64_t started,
+                            int sequence, const std::string& state) const {
+  const std::string announcement = fmt::format(
+      R"({{"address":"{}","info":{{"service":"history","version":"v1",)"
+      R"("zone":"z","slots":18}},"status":{{"state":"{}","seq":{},)"
+      R"("coldRemainingS":0}},"born":{}}})",
+      upstream_address_, state, sequence, started);
+  return platform_connection(announcements_)
+      .Call("POST", "/hornbeamlb/Instances.Heartbeat/" + instance,
+            "Host: control\r\nContent-Type: application/json\r\n", announcement)
+      .status;
+}
+
+int platform_site::Deregister(const std::string& instance,
+                              std::optional<std::int64_t> started) const {
+  return platform_connection(announcements_)
+      .Call("POST", "/hornbeamlb/Instances.Deregister/" + instance,
+            "Host: control\r\nContent-Type: application/json\r\n",
+            started ? fmt::format(R"({{"born":{}}})", *started) : "")
+      .status;
+}
+
 void platform_site::AnnounceLoop() {
+  constexpr std::int64_t kStarted = 1700000000000;
   for (int sequence = 1; !stopped_; ++sequence) {
-    const std::string announcement = fmt::format(
-        R"({{"address":"{}","info":{{"service":"history","version":"v1",)"
-        R"("zone":"z","slots":18}},"status":{{"state":"ready","seq":{},)"
-        R"("coldRemainingS":0}},"born":1700000000000}})",
-        upstream_address_, sequence);
-    platform_connection(announcements_)
-        .Call("POST", "/hornbeamlb/Instances.Heartbeat/i-1",
-              "Host: control\r\nContent-Type: application/json\r\n",
-              announcement);
+    static_cast<void>(Announce("i-1", kStarted, sequence));
     std::this_thread::sleep_for(kAnnounceInterval);
   }
 }
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -6,6 +6,7 @@
 #include <boost/asio/io_context.hpp>
 #include <boost/asio/ip/tcp.hpp>
 #include <chrono>
+#include <cstdint>
 #include <functional>
 #include <list>
 #include <memory>
@@ -136,6 +137,21 @@
   // leads.
   bool RestartControlVm();
 
+  // The upstream announces itself no more by its own.
+  void StopAnnouncing();
+  // Sends one announcement of the upstream, or its leave, and returns the
+  // status of the reply; 0 without one. Without a start the leave has no body.
+  [[nodiscard]] int Announce(const std::string& instance, std::int64_t started,
+                             int sequence,
+                             const std::string& state = "ready") const;
+  [[nodiscard]] int Deregister(const std::string& instance,
+                               std::optional<std::int64_t> started) const;
+  // Ends the serving node with `signal` and starts it again. Returns false if
+  // it did not end in time.
+  bool RestartServingNode(int signal);
+  // Waits until the serving node says that it is ready.
+  bool WaitServingNodeReady() const;
+
  private:
   platform_site(std::unique_ptr<port_block> ports,
                 const platform_site_options& options,
@@ -147,6 +163,7 @@
       const std::string& addresses) const;
   bool Start();
   void AnnounceLoop();
+  [[nodiscard]] std::unique_ptr<child_process> StartServingNode() const;
   [[nodiscard]] std::unique_ptr<child_process> StartControlVm(
       std::size_t index) const;
   // Returns the configured addresses of all control VMs.
