--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -91,6 +91,10 @@
      "opened again, which is tried if `reopens` is true."},
     {event_id::kReplicaStorageRegained, "replica_storage_regained", kInfo,
      "A replica's disk takes data again; the replica follows its leader."},
+    {event_id::kControlHandedOver, "control_handed_over", kInfo,
+     "A control VM that was asked to stop has handed over its votes and "
+     "leadership; `done` is false if others could take them and did not in "
+     "time."},
     {event_id::kProcessStarted, "process_started", kInfo,
      "The process is ready."},
     {event_id::kProcessDraining, "process_draining", kInfo,
--- a/src/base/event_catalogue.h
+++ b/src/base/event_catalogue.h
@@ -53,6 +53,7 @@
   kReplicaRoleChanged = 6001,
   kReplicaStorageFailed = 6002,
   kReplicaStorageRegained = 6003,
+  kControlHandedOver = 6004,
   // Process lifecycle.
   kProcessStarted = 7001,
   kProcessDraining = 7002,
--- a/src/controllers/replica_host.h
+++ b/src/controllers/replica_host.h
@@ -93,6 +93,10 @@
   // Drives the timers; must be called about every kReplicaTickInterval.
   virtual void Tick(time_point now) = 0;
 
+  // Begins to hand over this replica's vote and leadership, since the process
+  // will stop. Status().ready_to_stop tells when that is done.
+  virtual void BeginLeave() = 0;
+
   [[nodiscard]] virtual replica_status Status() const = 0;
 
  protected:
--- a/src/controllers/replica_host_impl.cc
+++ b/src/controllers/replica_host_impl.cc
@@ -317,6 +317,10 @@
                  {"commit_index", core_->CommitIndex()}});
 }
 
+void replica_host_impl::BeginLeave() {
+  if (storage_fault_.empty()) core_->BeginLeave();
+}
+
 replica_status replica_host_impl::Status() const {
   replica_status status{.role = core_->Role(),
                         .term = core_->Term(),
@@ -334,6 +338,7 @@
     status.role = replica_role::kFollower;
     status.leader.clear();
   }
+  status.ready_to_stop = !storage_fault_.empty() || core_->IsReadyToStop();
   for (const replica_member& member : core_->Log().Membership().members) {
     status.replicas.push_back(
         {.name = member.identity.name,
--- a/src/controllers/replica_host_impl.h
+++ b/src/controllers/replica_host_impl.h
@@ -31,6 +31,7 @@
   [[nodiscard]] std::string QueryStale(std::string_view query) const override;
   void OnMessage(std::string_view from, std::string_view bytes) override;
   void Tick(time_point now) override;
+  void BeginLeave() override;
   [[nodiscard]] replica_status Status() const override;
 
  private:
--- a/src/controllers/replica_status.h
+++ b/src/controllers/replica_status.h
@@ -32,6 +32,9 @@
   // All that was acknowledged before this time is applied here.
   time_point current_as_of;
   std::string storage_fault;  // Empty while the disk works.
+  // Whether the replica has nothing left to hand over; see
+  // replica_host::BeginLeave.
+  bool ready_to_stop = true;
   std::vector<replica_peer_status> replicas;
 };
 
--- a/src/daemon/control_daemon.cc
+++ b/src/daemon/control_daemon.cc
@@ -42,6 +42,11 @@
 // the votes.
 constexpr int kElectionRounds = 3;
 
+// Time limit for handing over votes and leadership before the process stops. It
+// takes a few round trips if a successor has caught up.
+constexpr duration kHandOverTimeout = std::chrono::seconds(2);
+constexpr duration kHandOverPollInterval = std::chrono::milliseconds(10);
+
 // Large enough for a routing table of about ten thousand routes.
 constexpr std::size_t kMaxOperatorBodyBytes = std::size_t{16} << 20U;
 
@@ -104,6 +109,8 @@
                 {"name", settings_.process.name},
                 {"peers", settings_.listen.peers.ToString()}});
     signals_.WaitForStop();
+    log_.Write(event_id::kProcessDraining, {{"name", settings_.process.name}});
+    HandOver();
     return Stop();
   }
 
@@ -193,8 +200,28 @@
     return operator_server_ != nullptr;
   }
 
+  // The process serves on meanwhile. Afterwards the control group bears as many
+  // losses as before, as far as there are VMs to take the votes.
+  void HandOver() {
+    const time_point started = clock_.Now();
+    const auto stores = Stores();
+    for (replica_host* store : stores) store->BeginLeave();
+    const auto is_done = [&stores] {
+      return std::ranges::all_of(stores, [](const replica_host* store) {
+        return store->Status().ready_to_stop;
+      });
+    };
+    while (!is_done() && !signals_.IsStopForced() &&
+           clock_.Now() - started < kHandOverTimeout) {
+      io_loop::SleepFor(kHandOverPollInterval);
+    }
+    log_.Write(event_id::kControlHandedOver,
+               {{"name", settings_.process.name},
+                {"done", is_done()},
+                {"elapsed_ms", (clock_.Now() - started).count() / 1000}});
+  }
+
   int Stop() {
-    log_.Write(event_id::kProcessDraining, {{"name", settings_.process.name}});
     if (operator_server_) operator_server_->Drain();
     local_server_->Drain();
     peers_->Stop();
@@ -208,17 +235,23 @@
     return 0;
   }
 
+  [[nodiscard]] std::vector<replica_host*> Stores() const {
+    std::vector<replica_host*> stores = {
+        settings_store_.get(), ledger_store_.get(), routing_store_.get()};
+    std::erase(stores, nullptr);
+    return stores;
+  }
+
   void Sample() {
     process_metrics_.Sample();
     metrics_.GetCounter(kMeshBytes)
         .RaiseTo(static_cast<double>(mesh_.TotalBytes()));
     metrics_.GetGauge(kLeases).Set(static_cast<double>(service_->LeaseCount()));
-    const auto stores = {settings_store_.get(), ledger_store_.get(),
-                         routing_store_.get()};
+    const auto stores = Stores();
     metrics_.GetGauge(kFailedStorages)
         .Set(static_cast<double>(
             std::ranges::count_if(stores, [](const replica_host* store) {
-              return store != nullptr && !store->Status().storage_fault.empty();
+              return !store->Status().storage_fault.empty();
             })));
   }
 
--- a/src/replication/replica_core.cc
+++ b/src/replication/replica_core.cc
@@ -1,6 +1,6 @@
 // Message dispatch and follower. Cluster formation and elections are in
-// replica_core_election.cc, the leader is in replica_core_leader.cc and
-// replica_core_membership.cc.
+// replica_core_election.cc, planned stops in replica_core_leave.cc, and the
+// leader is in replica_core_leader.cc and replica_core_membership.cc.
 #include "replication/replica_core.h"
 
 #include <algorithm>
@@ -75,12 +75,14 @@
       return;
     }
     MaybeChangeMembership();
+    if (leaving_) MaybeTransferLeadership();
     if (now_ >= next_hello_) SendHellosToMissingNames();
     if (now_ >= next_heartbeat_) SendHeartbeats();
     return;
   }
   if (role_ == replica_role::kUnformed) TryFormCluster();
   if (ShouldSendHellos() && now_ >= next_hello_) SendHellos();
+  if (leaving_) SendLeaveRequest();
   if (!IsVoter()) {
     ClearSilentLeader();
     return;
@@ -229,6 +231,7 @@
     Send(message.from, reply);
     return;
   }
+  if (leaving_) SendLeaveRequest();
   if (!AreConsecutive(body.previous, body.entries)) return;
   // Committed entries are the same in the log of every later leader, so a
   // previous entry that is committed matches. The entries after it may still be
--- a/src/replication/replica_core.h
+++ b/src/replication/replica_core.h
@@ -71,6 +71,10 @@
 //   leader removes the old identity and then promotes the new one to voter. In
 //   this order no step tolerates fewer faults than before, because the old
 //   identity counts towards the quorum size but cannot vote any more.
+// - A replica that will stop hands over its vote first, if a learner can take
+//   it: the leader promotes the learner and then demotes the replica. In this
+//   order the voters that stay tolerate as many faults as before. A leader
+//   hands over the leadership as well.
 class replica_core {
  public:
   // `random` must outlive this.
@@ -98,6 +102,12 @@
   // the entry at `index`, which was part of an output's `committed`.
   void OnSnapshotTaken(std::uint64_t index, std::string state);
 
+  // Begins to hand over the vote and the leadership, since the process will
+  // stop; see IsReadyToStop. The replica takes part until then.
+  void BeginLeave();
+  // Returns whether nothing is left to hand over, or nobody could take it.
+  [[nodiscard]] bool IsReadyToStop() const;
+
   // Returns the actions that result from the calls since the last TakeOutput.
   replica_output TakeOutput(time_point now);
 
@@ -132,6 +142,8 @@
   void Handle(const replica_message& message, const append_reply& body);
   void Handle(const replica_message& message, const snapshot_chunk& body);
   void Handle(const replica_message& message, const snapshot_reply& body);
+  void Handle(const replica_message& message, const leave_request& body);
+  void Handle(const replica_message& message, const take_over_request& body);
   [[nodiscard]] bool IsForThisReplica(const replica_message& message) const;
   void AdoptNewerTerm(const replica_message& message);
   void Send(const replica_identity& to, replica_message_body body);
@@ -162,6 +174,12 @@
   [[nodiscard]] bool IsVoter() const;
   void ClearSilentLeader();
 
+  // Planned stops.
+  void SendLeaveRequest();
+  void MaybeTransferLeadership();
+  [[nodiscard]] bool IsLeaving(const replica_identity& id) const;
+  [[nodiscard]] bool HasLearnerToPromote() const;
+
   // Follower.
   bool FollowLeader(const replica_message& message);
   void AppendEntries(const append_request& body);
@@ -197,6 +215,7 @@
                       replica_member& learner) const;
   bool RemoveSupersededVoter(replica_membership& membership) const;
   bool ReduceSurplusVoters(replica_membership& membership) const;
+  bool DemoteLeavingVoter(replica_membership& membership) const;
   [[nodiscard]] bool IsSilent(const replica_identity& id) const;
   [[nodiscard]] auto IsSilentVoter() const {
     return [this](const replica_member& member) {
@@ -246,6 +265,12 @@
   vote_tally votes_;
   snapshot_receiver receiver_;
 
+  // Planned stops.
+  bool leaving_ = false;
+  time_point next_leave_message_;
+  // When each replica last told this leader that it will stop.
+  std::map<replica_identity, time_point> leave_requested_at_;
+
   // Leader state.
   std::map<replica_identity, peer_progress> peers_;
   time_point next_heartbeat_;
--- a/src/replication/replica_core_election.cc
+++ b/src/replication/replica_core_election.cc
@@ -215,6 +215,8 @@
     ResetElectionDeadline();
   }
   role_ = replica_role::kFollower;
+  // A new leader is told at once.
+  if (leader_ != leader) next_leave_message_ = now_;
   leader_ = leader;
   if (term == hard_state_.term) return;
   assert(term > hard_state_.term);
--- a/src/replication/replica_core_membership.cc
+++ b/src/replication/replica_core_membership.cc
@@ -100,7 +100,8 @@
 // removes a voter whose disk is known to be lost, then promotes the learner.
 bool replica_core::AdvanceLearner(replica_membership& membership) const {
   const auto is_ready = [&](const replica_member& member) {
-    return !member.voter && IsCaughtUp(member.identity);
+    return !member.voter && IsCaughtUp(member.identity) &&
+           !IsLeaving(member.identity);
   };
   auto ready = membership.members | std::views::filter(is_ready);
   if (ready.empty()) return false;
@@ -131,16 +132,20 @@
 }
 
 // Promotes `learner` to voter unless the target number of voters is reached and
-// none of them is silent. A silent voter is removed only afterwards, because it
-// may return and may be needed for a quorum until then.
+// none of them is silent or leaves. That voter is removed only afterwards,
+// because it may return and may be needed for a quorum until then.
 bool replica_core::PromoteLearner(const replica_membership& membership,
                                   replica_member& learner) const {
   const std::size_t voters = membership.VoterCount();
-  const bool replaces_silent_voter =
+  const auto is_replaceable = [this](const replica_member& member) {
+    return member.voter &&
+           (IsSilent(member.identity) || IsLeaving(member.identity));
+  };
+  const bool replaces_voter =
       voters == options_.target_voters &&
-      std::ranges::any_of(membership.members, IsSilentVoter());
+      std::ranges::any_of(membership.members, is_replaceable);
   if (options_.target_voters > 0 && voters >= options_.target_voters &&
-      !replaces_silent_voter) {
+      !replaces_voter) {
     return false;
   }
   learner.voter = true;
@@ -148,8 +153,8 @@
 }
 
 // Reduces the number of voters by one if it is above the target: removes a
-// silent voter or, if all voters are active, demotes one to learner, preferably
-// one without a configured name.
+// silent voter, demotes one that leaves or, if all voters are active, demotes
+// one to learner, preferably one without a configured name.
 bool replica_core::ReduceSurplusVoters(replica_membership& membership) const {
   if (options_.target_voters == 0 ||
       membership.VoterCount() <= options_.target_voters) {
@@ -161,6 +166,9 @@
     members.erase(silent);
     return true;
   }
+  if (DemoteLeavingVoter(membership)) return true;
+  // This replica is demoted by the next leader.
+  if (leaving_) return false;
   const auto is_other = [&](const replica_member& member) {
     return member.voter && member.identity != self_;
   };
@@ -180,6 +188,17 @@
   return true;
 }
 
+bool replica_core::DemoteLeavingVoter(replica_membership& membership) const {
+  const auto leaves = [this](const replica_member& member) {
+    return member.voter && member.identity != self_ &&
+           IsLeaving(member.identity);
+  };
+  const auto found = std::ranges::find_if(membership.members, leaves);
+  if (found == membership.members.end()) return false;
+  found->voter = false;
+  return true;
+}
+
 bool replica_core::IsSilent(const replica_identity& id) const {
   if (id == self_) return false;
   time_point since = leader_since_;
--- a/src/replication/replica_message.h
+++ b/src/replication/replica_message.h
@@ -126,9 +126,24 @@
   }
 };
 
+// Tells the leader that the sender will stop: a learner that has caught up
+// should take its vote. Repeated until the sender has no vote or stops.
+struct leave_request {
+  template <class Archive>
+  void serialize(Archive& /*archive*/) {}
+};
+
+// Asks a voter to campaign at once, because the leader will stop. Valid only
+// from the leader of the message's term.
+struct take_over_request {
+  template <class Archive>
+  void serialize(Archive& /*archive*/) {}
+};
+
 using replica_message_body =
     std::variant<hello_request, hello_reply, vote_request, vote_reply,
-                 append_request, append_reply, snapshot_chunk, snapshot_reply>;
+                 append_request, append_reply, snapshot_chunk, snapshot_reply,
+                 leave_request, take_over_request>;
 
 // A message with its sender, receiver, cluster and term. The receiver drops a
 // message for another incarnation or another cluster.
--- a/tests/leader_client_test.cc
+++ b/tests/leader_client_test.cc
@@ -40,6 +40,7 @@
   void OnMessage(std::string_view /*from*/,
                  std::string_view /*bytes*/) override {}
   void Tick(time_point /*now*/) override {}
+  void BeginLeave() override {}
   [[nodiscard]] replica_status Status() const override { return status; }
 
   void Lead() {
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -231,23 +231,24 @@
 }
 
 std::unique_ptr<child_process> platform_site::StartControlVm(
-    std::size_t index) const {
+    std::size_t index, bool may_found) const {
   const std::string name = fmt::format("control-{}", index + 1);
   const std::filesystem::path data = directory_.Path() / (name + "-data");
   std::filesystem::create_directory(data);
   return StartDaemon(
-      name, fmt::format("[process]\nrole = control\nname = {}\nregion = r\n"
-                        "availability_zone = z\n"
-                        "[listen]\npeers = {}\nlocal = {}\noperators = {}\n"
-                        "[control]\naddresses = {}\npeers_port = {}\n"
-                        "may_found = 1\ntolerated_losses = {}\n"
-                        "heartbeat_ms = 150\nelection_timeout_ms = 700\n"
-                        "isolation_limit_ms = 900\nstaleness_limit_ms = 2000\n"
-                        "[storage]\ndata_folder = {}\n[log]\nfile = -\n",
-                        name, AddressOf(control_peers_, index),
-                        AddressOf(control_local_, index), Operators(index),
-                        ControlAddresses(), PortOf(control_peers_),
-                        (options_.control_vms - 1) / 2, data.string()));
+      name,
+      fmt::format("[process]\nrole = control\nname = {}\nregion = r\n"
+                  "availability_zone = z\n"
+                  "[listen]\npeers = {}\nlocal = {}\noperators = {}\n"
+                  "[control]\naddresses = {}\npeers_port = {}\n"
+                  "may_found = {}\ntolerated_losses = {}\n"
+                  "heartbeat_ms = 150\nelection_timeout_ms = 700\n"
+                  "isolation_limit_ms = 900\nstaleness_limit_ms = 2000\n"
+                  "[storage]\ndata_folder = {}\n[log]\nfile = -\n",
+                  name, AddressOf(control_peers_, index),
+                  AddressOf(control_local_, index), Operators(index),
+                  ControlAddresses(), PortOf(control_peers_), may_found ? 1 : 0,
+                  (options_.control_vms - 1) / 2, data.string()));
 }
 
 std::string platform_site::ControlAddresses() const {
@@ -326,6 +327,47 @@
       .status;
 }
 
+std::size_t platform_site::AddControlVm() {
+  controls_.push_back(StartControlVm(controls_.size(), false));
+  return controls_.size() - 1;
+}
+
+void platform_site::LoseControlDisk(std::size_t index,
+                                    std::chrono::milliseconds dark) {
+  controls_.at(index)->Kill();
+  std::filesystem::remove_all(directory_.Path() /
+                              fmt::format("control-{}-data", index + 1));
+  std::this_thread::sleep_for(dark);
+  controls_.at(index) = StartControlVm(index, false);
+}
+
+std::string platform_site::ReadTable(std::size_t index) const {
+  platform_connection control(Operators(index));
+  control.SetTimeLimit(std::chrono::milliseconds(1000));
+  const platform_answer answer =
+      control.Call("GET", "/hornbeamlb/Config.Get", "Host: control\r\n");
+  return answer.status == 200 ? answer.body : std::string();
+}
+
+bool platform_site::ReplaceAtAny(const std::string& table,
+                                 const std::vector<std::size_t>& indices,
+                                 std::chrono::milliseconds limit) const {
+  return WaitUntil(
+      [&] {
+        return std::ranges::any_of(indices, [&](std::size_t index) {
+          platform_connection control(Operators(index));
+          control.SetTimeLimit(std::chrono::milliseconds(1000));
+          return control
+                     .Call("POST", "/hornbeamlb/Config.Replace",
+                           "Host: control\r\n"
+                           "Content-Type: application/json\r\n",
+                           table)
+                     .status == 200;
+        });
+      },
+      limit);
+}
+
 std::unique_ptr<child_process> platform_site::StartServingNode() const {
   return StartNode(
       "serving", "history",
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -137,6 +137,19 @@
   // leads.
   bool RestartControlVm();
 
+  // Starts one more control VM, with an empty disk, and returns its index.
+  std::size_t AddControlVm();
+  // Ends a control VM by force and starts it with an empty disk after `dark`.
+  void LoseControlDisk(std::size_t index, std::chrono::milliseconds dark);
+  // Returns the routing table as the control VM answers a read of it; empty if
+  // it does not answer with 200.
+  [[nodiscard]] std::string ReadTable(std::size_t index) const;
+  // Sends the change to the control VMs at `indices` in turn until one accepts
+  // it. Returns false if none does within `limit`.
+  [[nodiscard]] bool ReplaceAtAny(const std::string& table,
+                                  const std::vector<std::size_t>& indices,
+                                  std::chrono::milliseconds limit) const;
+
   // The upstream announces itself no more by its own.
   void StopAnnouncing();
   // Sends one announcement of the upstream, or its leave, and returns the
@@ -165,7 +178,7 @@
   void AnnounceLoop();
   [[nodiscard]] std::unique_ptr<child_process> StartServingNode() const;
   [[nodiscard]] std::unique_ptr<child_process> StartControlVm(
-      std::size_t index) const;
+      std::size_t index, bool may_found = true) const;
   // Returns the configured addresses of all control VMs.
   [[nodiscard]] std::string ControlAddresses() const;
 
--- a/tests/support/replica_simulation.cc
+++ b/tests/support/replica_simulation.cc
@@ -305,6 +305,7 @@
   const auto to = std::ranges::find(names_, sent.message.to);
   replica& target = replicas_[static_cast<std::size_t>(to - names_.begin())];
   if (target.isolated || replicas_[sent.from].isolated) return;
+  if (target.down) return;
   target.core->OnMessage(sent.message.message, target.now);
   CollectOutput(target);
 }
@@ -398,7 +399,7 @@
                                    const replica* frozen) {
   for (int round = 0; round < rounds; ++round) {
     for (replica& each : replicas_) {
-      if (&each == frozen) continue;
+      if (&each == frozen || each.down) continue;
       AdvanceClock(each, step);
       each.core->OnTick(each.now);
       CollectOutput(each);
@@ -413,11 +414,65 @@
       }
     }
     for (replica& each : replicas_) {
-      if (&each != frozen) Persist(each);
+      if (&each != frozen && !each.down) Persist(each);
     }
   }
 }
 
+// ---- Planned work and losses by the caller's choice ----
+
+void replica_simulation::Run(duration time) {
+  RunRounds(static_cast<int>(time / kReplicaTickInterval), kReplicaTickInterval,
+            nullptr);
+}
+
+std::optional<std::size_t> replica_simulation::Leader() const {
+  std::optional<std::size_t> latest;
+  for (const replica& each : replicas_) {
+    if (each.down || each.core->Role() != replica_role::kLeader) continue;
+    if (latest && replicas_[*latest].core->Term() > each.core->Term()) continue;
+    latest = IndexOf(each);
+  }
+  return latest;
+}
+
+std::vector<std::size_t> replica_simulation::Voters() const {
+  std::vector<std::size_t> voters;
+  const auto leader = Leader();
+  if (!leader) return voters;
+  const replica_membership& membership =
+      replicas_[*leader].core->Log().Membership();
+  for (const replica& each : replicas_) {
+    if (membership.IsVoter(each.core->Self())) voters.push_back(IndexOf(each));
+  }
+  return voters;
+}
+
+void replica_simulation::TakeDown(std::size_t at) {
+  replicas_[at].down = true;
+  replicas_[at].writing.reset();
+}
+
+void replica_simulation::BringUp(std::size_t at, bool wiped) {
+  replica& target = replicas_[at];
+  target.down = false;
+  target.proposals.clear();
+  target.reads.clear();
+  if (wiped) target.disk = std::make_unique<memory_disk>(++last_incarnation_);
+  Start(target);
+}
+
+bool replica_simulation::Commits(duration time) {
+  const std::uint64_t before = oracle_.Acknowledged();
+  for (duration ran{0}; ran < time; ran += kReplicaTickInterval) {
+    const auto leader = Leader();
+    if (leader) Propose(replicas_[*leader]);
+    Run(kReplicaTickInterval);
+    if (oracle_.Acknowledged() > before) return true;
+  }
+  return false;
+}
+
 bool replica_simulation::HasRecovered() const {
   return std::ranges::all_of(replicas_, [&](const replica& each) {
     const replica_membership& membership = each.core->Log().Membership();
--- a/tests/support/replica_simulation.h
+++ b/tests/support/replica_simulation.h
@@ -44,6 +44,28 @@
   // number of rounds.
   bool Recover();
 
+  // ---- Planned work and losses by the caller's choice ----
+
+  // Runs all replicas that are not down for `time`.
+  void Run(duration time);
+  // Returns the replica that leads in the latest term; std::nullopt if none
+  // does.
+  [[nodiscard]] std::optional<std::size_t> Leader() const;
+  // Returns the replicas that vote by the leader's log; empty without a leader.
+  [[nodiscard]] std::vector<std::size_t> Voters() const;
+  [[nodiscard]] std::size_t Size() const { return replicas_.size(); }
+  void BeginLeave(std::size_t at) { replicas_[at].core->BeginLeave(); }
+  [[nodiscard]] bool IsReadyToStop(std::size_t at) const {
+    return replicas_[at].core->IsReadyToStop();
+  }
+  // Stops the process: no messages, ticks or writes from now on.
+  void TakeDown(std::size_t at);
+  // Starts the process again, with an empty disk if `wiped`.
+  void BringUp(std::size_t at, bool wiped);
+  [[nodiscard]] bool IsDown(std::size_t at) const { return replicas_[at].down; }
+  // Proposes a command and returns whether it was acknowledged within `time`.
+  bool Commits(duration time);
+
   // Returns the first violation of the protocol; empty if there is none.
   [[nodiscard]] const std::string& Violation() const {
     return oracle_.Violation();
@@ -61,6 +83,7 @@
     // Highest acknowledged index when its clock reached each time.
     std::map<time_point, std::uint64_t> acknowledged_at;
     bool isolated = false;
+    bool down = false;
     applied_state state;
     std::map<std::uint64_t, std::uint64_t> proposals;  // Terms by index.
     // Minimum index that each pending read must observe, by read id.
