A request of any method with a body ends no process

What callers would see: one TRACE request with a body ends the process of the node that passes it on.

Cause: the HTTP library's prepare_payload throws for a TRACE request with a body, in a fiber, where nobody catches.

Change: the client sets the length itself; method and body are forwarded as they are.

Evidence: http_exchange_test/request_of_any_method_with_a_body_is_sent ended the test program before ("invalid request body") and passes.

--- a/src/http/http_client.cc
+++ b/src/http/http_client.cc
@@ -35,6 +35,10 @@
 constexpr duration kIdleTimeoutMargin = std::chrono::milliseconds(500);
 constexpr std::size_t kMaxIdleConnections = 256;
 
+// Methods whose requests have a length even without a body (RFC 9110, 8.6).
+constexpr std::string_view kMethodsWithBody[] = {"POST", "PUT", "PATCH",
+                                                 "OPTIONS"};
+
 struct open_connection {
   open_connection(tcp::socket socket, std::size_t buffer_limit_bytes)
       : stream(std::move(socket)), buffer(buffer_limit_bytes) {}
@@ -73,7 +77,12 @@
     sent.set(http::field::host, host);
   }
   sent.body() = request.body;
-  sent.prepare_payload();
+  // The library's prepare_payload throws for methods that it expects to have no
+  // body.
+  const bool has_length = !request.body.empty() ||
+                          std::ranges::find(kMethodsWithBody, request.method) !=
+                              std::end(kMethodsWithBody);
+  if (has_length) sent.content_length(request.body.size());
   return sent;
 }
 
--- a/tests/http_exchange_test.cc
+++ b/tests/http_exchange_test.cc
@@ -491,6 +491,42 @@
   }
 }
 
+// Guards against a caller that ends the process by its choice of method: the
+// library throws when it prepares a TRACE request with a body. The upstream
+// gets method and body as they are.
+BOOST_AUTO_TEST_CASE(request_of_any_method_with_a_body_is_sent) {
+  for (const std::string method :
+       {"GET", "HEAD", "POST", "PUT", "DELETE", "TRACE", "OPTIONS", "CONNECT",
+        "PATCH", "PURGE", "M-SEARCH", "X"}) {
+    for (const std::string body : {"", "body"}) {
+      std::string head;
+      std::string answer;
+      RunOnLoop([&](io_loop& loop) {
+        const system_clock_source clock;
+        fiber_group fibers;
+        scripted_upstream upstream(loop, fibers, [&](const std::string& got) {
+          head = got;
+          return Answer("0", method == "HEAD" ? "" : "done");
+        });
+        upstream.CloseAfterAnswers();
+        const auto client = http_client::MakeHttpClient(
+            loop, "127.0.0.1", upstream.Port(), http_client_options{}, clock);
+        cancel_source never;
+        const auto result =
+            client->Call({.method = method, .target = "/", .body = body},
+                         clock.Now() + seconds(5), never);
+        if (result) answer = result.value().body;
+        upstream.Stop();
+        fibers.WaitEmpty(TestDeadline());
+      });
+      BOOST_TEST(head.starts_with(method + " / HTTP/1.1\r\n"), method);
+      BOOST_TEST(answer == (method == "HEAD" ? "" : "done"), method);
+      if (!body.empty())
+        BOOST_TEST(GetHeadField(head, "Content-Length") == "4", method);
+    }
+  }
+}
+
 // The same in requests, with limits below and above those of the library.
 BOOST_AUTO_TEST_CASE(field_of_any_length_in_a_request_ends_no_process) {
   const std::string line = "POST /quick HTTP/1.1\r\nHost: h\r\n";
