A caller whose request is rejected unread gets the answer

What callers saw: a request above a limit was answered with 413 or 431, but the connection was closed while the caller still sent, so that it was reset and the answer lost with it. An operator then sends the same document again and again.

Cause: only connections that are drained waited for their caller to take the answer.

Change: a rejected one does as well, for up to a second, discarding what arrives.

Evidence: http_exchange_test/rejection_reaches_a_caller_that_sends_on failed in 3 of 3 forms before and passes.

--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -36,9 +36,9 @@
 constexpr int kIdleChecksPerTimeout = 10;
 // Time from the start of a drain until idle connections are closed; see Drain.
 constexpr duration kDrainGracePeriod = std::chrono::milliseconds(500);
-// Time in which a caller may take the last answer of a drained connection. A
-// connection that is closed while its caller still sends is reset, and the
-// answer may be lost with it.
+// Time in which a caller may take the last answer of a connection that is
+// drained or whose last request was rejected. A connection that is closed while
+// its caller still sends is reset, and the answer may be lost with it.
 constexpr duration kLingerTime = std::chrono::seconds(1);
 
 using request_parser = http::request_parser<http::string_body>;
@@ -247,9 +247,10 @@
     const auto rejected = std::make_shared<exchange>();
     rejected->wants_keep_alive = false;
     rejected->response = MakeErrorResponse(*status);
+    rejected_ = true;
     exchanges_.push_back(rejected);
     Flush();
-    return false;
+    return WatchForDisconnect();
   }
 
   bool Handle(http::request<http::string_body> received) {
@@ -303,7 +304,7 @@
     writing_kept_alive_ = false;
     if (!error && keep_alive) return;
     write_ended_ = true;
-    if (!error && draining_) return Linger();
+    if (!error && (draining_ || rejected_)) return Linger();
     boost::system::error_code ignored;
     // Unblocks a reader that waits for the next request.
     stream_.socket().shutdown(
@@ -350,6 +351,7 @@
   bool write_ended_ = false;         // No more answers are written.
   bool idle_ = false;
   bool draining_ = false;
+  bool rejected_ = false;  // A request was not read to its end.
   bool close_when_idle_ = false;
   bool read_ended_ = false;  // No more requests are read.
   boost::fibers::mutex mutex_;
--- a/tests/http_exchange_test.cc
+++ b/tests/http_exchange_test.cc
@@ -491,6 +491,22 @@
   }
 }
 
+// Guards against a rejection that its caller never sees: a connection that is
+// closed while the caller still sends is reset.
+BOOST_AUTO_TEST_CASE(rejection_reaches_a_caller_that_sends_on) {
+  const std::string body(64UL * 1024 * 1024, 'b');
+  const std::string line = "POST /quick HTTP/1.1\r\nHost: h\r\n";
+  const auto answers =
+      AnswersTo({line + "Content-Length: " + std::to_string(body.size()) +
+                     "\r\n\r\n" + body,
+                 line + "Transfer-Encoding: chunked\r\n\r\n4000000\r\n" + body,
+                 line + "X-Long: " + body + "\r\n\r\n"},
+                16UL * 1024);
+  BOOST_TEST(answers[0].starts_with("HTTP/1.1 413 "));
+  BOOST_TEST(answers[1].starts_with("HTTP/1.1 413 "));
+  BOOST_TEST(answers[2].starts_with("HTTP/1.1 431 "));
+}
+
 // Guards against a caller that ends the process by its choice of method: the
 // library throws when it prepares a TRACE request with a body. The upstream
 // gets method and body as they are.
