Documents and tables that no message can carry end no process

What operators would see: one document of 4 MiB ended the control VM that got it; six updates of 0.9 MB each, all accepted, made a table whose push to a node that started ended all three control VMs.

Cause: commands were limited to 4 MiB, as are messages between processes, which carry a few bytes more; tables had no limit; EncodeFrame asserts.

Change: commands and encoded tables are limited to 3 MiB where they are accepted, with the relation to the message's limit checked at compile time. A follower checks before it forwards. A larger document is answered with 400 and its reason, not 503. Clients of the stores reject a larger request themselves.

--- a/src/base/store_client.h
+++ b/src/base/store_client.h
@@ -21,8 +21,8 @@
   kNoQuorum,     // A control VM replied that there is no quorum; the command
                  // was not accepted.
   kTimeout,      // No reply in time; the command may have been accepted.
-  kRejected,     // The control VM could not decode the request; the command was
-                 // not accepted.
+  kRejected,     // The request is too large, or the control VM could not decode
+                 // it; the command was not accepted.
 };
 
 // Sends encoded commands and queries to the leader of a store and follows
--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -15,6 +15,7 @@
 #include "controllers/store_mapping.h"
 #include "io/fiber_group.h"
 #include "io/io_loop.h"
+#include "replication/replica_options.h"
 #include "routing/routing_codec.h"
 #include "settings/settings_codec.h"
 #include "settings/settings_messages.h"
@@ -347,7 +348,7 @@
       clock_.Now() + std::chrono::microseconds(request.deadline_us);
   const std::uint64_t correlation = request.correlation;
   replica_host* const found = Store(request.store);
-  if (found == nullptr) {
+  if (found == nullptr || request.bytes.size() > kMaxCommandBytes) {
     connection.TrySend(store_reply{.correlation = correlation,
                                    .status = store_status::kRejected});
     return;
--- a/src/controllers/leader_client.cc
+++ b/src/controllers/leader_client.cc
@@ -10,6 +10,7 @@
 #include "controllers/store_mapping.h"
 #include "io/fiber_signal.h"
 #include "io/io_loop.h"
+#include "replication/replica_options.h"
 
 namespace hornbeam {
 
@@ -57,6 +58,8 @@
 
 result<std::string, replica_error> leader_client::Request(
     store_operation operation, std::string_view bytes, time_point deadline) {
+  // Forwarding it would take a message above the limit.
+  if (bytes.size() > kMaxCommandBytes) return replica_error::kTooLarge;
   bool may_be_accepted = false;
   while (clock_.Now() < deadline) {
     const replica_status status = replica_.Status();
--- a/src/controllers/operator_handler.cc
+++ b/src/controllers/operator_handler.cc
@@ -1,5 +1,7 @@
 #include "controllers/operator_handler.h"
 
+#include <fmt/format.h>
+
 #include <string>
 
 #include "base/event_log.h"
@@ -25,6 +27,13 @@
   return "invalid";
 }
 
+std::string_view OutcomeName(const replica_reply& reply,
+                             const std::optional<routing_reply>& decoded) {
+  if (decoded) return VerdictName(decoded->verdict);
+  const bool is_too_large = !reply && reply.error() == replica_error::kTooLarge;
+  return is_too_large ? "too_large" : "unsure";
+}
+
 }  // namespace
 
 operator_handler::operator_handler(const clock_source& clock, event_log& log,
@@ -62,11 +71,16 @@
               {"base", change.base_version},
               {"change", change.change_id.ToString()},
               {"current", decoded ? decoded->current_version : 0},
-              {"outcome", decoded ? VerdictName(decoded->verdict) : "unsure"},
+              {"outcome", OutcomeName(reply, decoded)},
               {"faults", decoded ? decoded->errors.size() : 0},
               {"leader", routing_.Status().leader},
               {"elapsed_ms", MillisecondsSince(started)}});
   if (decoded) return codec_.WriteRoutingReply(*decoded);
+  if (!reply && reply.error() == replica_error::kTooLarge) {
+    return codec_.WriteError(
+        {.reason = fmt::format("the change is larger than {} bytes",
+                               kMaxCommandBytes)});
+  }
   // The change may or may not have been accepted; the operator sends it again.
   return codec_.WriteUnavailable("no quorum confirmed the change in time");
 }
--- a/src/controllers/replica_mesh.cc
+++ b/src/controllers/replica_mesh.cc
@@ -7,6 +7,9 @@
 
 #include "io/fiber_group.h"
 #include "io/io_loop.h"
+#include "replication/replica_options.h"
+#include "routing/routing_store.h"
+#include "wire/frame_codec.h"
 
 namespace hornbeam {
 
@@ -15,6 +18,11 @@
 // Limit on links, well above the number of control VMs of a deployment
 // including those replaced while this process runs.
 constexpr std::size_t kMaxLinks = 64;
+// What a message adds to the command or table that it carries.
+constexpr std::size_t kMaxEnvelopeBytes = 64UL * 1024;
+static_assert(kMaxCommandBytes + kMaxEnvelopeBytes <= kMaxFrameBytes);
+static_assert(routing_store::kMaxTableBytes + kMaxEnvelopeBytes <=
+              kMaxFrameBytes);
 
 }  // namespace
 
--- a/src/replication/replica_options.h
+++ b/src/replication/replica_options.h
@@ -13,6 +13,9 @@
 // Interval at which replica_core::OnTick should be called.
 constexpr duration kReplicaTickInterval = std::chrono::milliseconds(10);
 
+// Limit on one command, which has to fit into one message between processes.
+constexpr std::size_t kMaxCommandBytes = std::size_t{3} << 20U;
+
 // Limits on the entries that a log keeps although a snapshot covers them.
 struct log_retention {
   std::uint64_t entries = 0;
@@ -45,7 +48,7 @@
   // heard from a quorum within one election timeout steps down.
   duration election_timeout = std::chrono::milliseconds(500);
 
-  std::size_t max_command_bytes = std::size_t{4} << 20U;
+  std::size_t max_command_bytes = kMaxCommandBytes;
   // Limit on the size of the commands in one message or one sync.
   std::size_t max_batch_bytes = std::size_t{1} << 20U;
   // Limit on the size of the commands that a leader has accepted but not yet
--- a/src/routing/routing_store.cc
+++ b/src/routing/routing_store.cc
@@ -1,5 +1,7 @@
 #include "routing/routing_store.h"
 
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <cereal/types/deque.hpp>
 #include <cereal/types/map.hpp>
@@ -65,6 +67,12 @@
     reply.errors = std::move(next).error();
     return reply;
   }
+  const std::size_t size = EncodeRoutingTable(next.value()).size();
+  if (size > kMaxTableBytes) {
+    reply.errors = {fmt::format("the table would have {} bytes, above {}", size,
+                                kMaxTableBytes)};
+    return reply;
+  }
   table_ = std::move(next).value();
   accepted_ids_.push_back(change.change_id);
   if (accepted_ids_.size() > kRememberedChangeIds) accepted_ids_.pop_front();
--- a/src/routing/routing_store.h
+++ b/src/routing/routing_store.h
@@ -23,6 +23,8 @@
  public:
   // Number of remembered ids: several days at one change a minute.
   static constexpr std::size_t kRememberedChangeIds = 8192;
+  // Limit on the encoded table: nodes that start get it in one message.
+  static constexpr std::size_t kMaxTableBytes = std::size_t{3} << 20U;
 
   std::string Apply(const committed_entry& entry) override;
   [[nodiscard]] std::string Query(std::string_view query) const override;
--- a/src/wire/control_client.cc
+++ b/src/wire/control_client.cc
@@ -12,6 +12,7 @@
 #include "io/fiber_group.h"
 #include "io/fiber_signal.h"
 #include "io/io_loop.h"
+#include "wire/frame_codec.h"
 #include "wire/message_link.h"
 
 namespace hornbeam {
@@ -26,6 +27,8 @@
 constexpr duration kLostRegistrarDelay = std::chrono::seconds(3);
 // Limit of known control VMs, including those that have been replaced.
 constexpr std::size_t kMaxChannels = 64;
+// A larger request does not fit into one message.
+constexpr std::size_t kMaxRequestBytes = kMaxFrameBytes - 64UL * 1024;
 // Time limit for the reply of one control VM, before another one is tried.
 constexpr duration kAttemptTimeout = std::chrono::milliseconds(1500);
 
@@ -218,6 +221,7 @@
 result<std::string, store_error> control_client::Request(
     store_id store, store_operation operation, std::string_view bytes,
     time_point deadline) {
+  if (bytes.size() > kMaxRequestBytes) return store_error::kRejected;
   if (store == store_id::kRouting)
     return RequestFromRegistrar(operation, bytes, deadline);
   store_request request{
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -4,12 +4,14 @@
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
+#include <string>
 #include <thread>
 
 #include "base/system_clock_source.h"
 #include "controllers/control_service.h"
 #include "io/fiber_group.h"
 #include "io/io_loop.h"
+#include "wire/frame_codec.h"
 #include "wire/frame_listener.h"
 
 namespace hornbeam {
@@ -109,6 +111,36 @@
   }).join();
 }
 
+// Guards against a request above the limit of one message, which ended the
+// process that sent it.
+BOOST_AUTO_TEST_CASE(request_too_large_for_a_message_is_rejected) {
+  std::thread([] {
+    io_loop loop;
+    const system_clock_source clock;
+    fiber_group fibers;
+    answering_vm answering;
+    const auto listener =
+        frame_listener::MakeFrameListener(loop, {"127.0.0.1", 0}, clock);
+    BOOST_REQUIRE(listener);
+    listener->Start(answering, fibers);
+    const std::array addresses = {listener->Address()};
+    const auto client = control_client::MakeControlClient(
+        loop, clock, {"node-1", 1}, addresses, 0, nullptr);
+    client->Start(fibers);
+    const std::string command(kMaxFrameBytes, 'c');
+    for (const store_id store :
+         {store_id::kSettings, store_id::kLedger, store_id::kRouting}) {
+      const auto reply =
+          client->Propose(store, command, clock.Now() + kWaitLimit);
+      BOOST_TEST(
+          (reply.has_error() && reply.error() == store_error::kRejected));
+    }
+    client->Stop();
+    listener->Stop();
+    fibers.WaitEmpty(clock.Now() + kWaitLimit);
+  }).join();
+}
+
 BOOST_AUTO_TEST_SUITE_END()
 
 }  // namespace hornbeam
