A SIGHUP during start or stop ends no process

What operators would see: nodes that end by themselves when settings change while they start.

Cause: until the handlers are installed, after the settings were read, SIGHUP has its default action; so it has again in the last moments of a stop.

Change: the daemons block the signals first in main; stop_signals unblocks them once it handles them, and blocks them again when it ends.

--- a/src/daemon/stop_signals.cc
+++ b/src/daemon/stop_signals.cc
@@ -12,14 +12,27 @@
 // duration::max() would overflow when it is added to the current time.
 constexpr duration kWaitStep = std::chrono::hours(24);
 
+void ChangeMask(int how) {
+  sigset_t handled;
+  ::sigemptyset(&handled);
+  for (const int signal : {SIGTERM, SIGINT, SIGHUP})
+    ::sigaddset(&handled, signal);
+  ::pthread_sigmask(how, &handled, nullptr);
+}
+
 }  // namespace
 
+void BlockStopSignals() { ChangeMask(SIG_BLOCK); }
+
 stop_signals::stop_signals(io_loop& loop)
     : signals_(loop.context(), SIGTERM, SIGINT, SIGHUP) {
   Listen();
+  ChangeMask(SIG_UNBLOCK);
 }
 
 stop_signals::~stop_signals() {
+  // The process ends by itself now.
+  BlockStopSignals();
   boost::system::error_code ignored;
   signals_.cancel(ignored);
 }
--- a/src/daemon/stop_signals.h
+++ b/src/daemon/stop_signals.h
@@ -12,6 +12,11 @@
 
 class io_loop;
 
+// Blocks the signals that stop_signals handles. The first thing that a daemon
+// does: until there are handlers they would end the process, SIGHUP as well.
+// The process gets those that arrive meanwhile with the handlers.
+void BlockStopSignals();
+
 // Handles SIGTERM and SIGINT, which request a graceful stop; a second one
 // requests an immediate stop. SIGHUP calls the handler of SetHangUpHandler and
 // is ignored without one. Owned by the daemon; for the I/O thread only.
--- a/src/main/hornbeamd.cc
+++ b/src/main/hornbeamd.cc
@@ -11,6 +11,7 @@
 #include "daemon/control_daemon.h"
 #include "daemon/daemon_settings.h"
 #include "daemon/node_daemon.h"
+#include "daemon/stop_signals.h"
 
 namespace hornbeam {
 
@@ -58,6 +59,7 @@
 }  // namespace hornbeam
 
 int main(int argc, char** argv) {
+  hornbeam::BlockStopSignals();
   hornbeam::ReturnLargeBlocksToSystem();
   const auto command = hornbeam::ParseDaemonCommandLine(
       std::span<const char* const>(argv, static_cast<std::size_t>(argc)));
