--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -90,9 +90,11 @@
   return answer;
 }
 
-platform_upstream::platform_upstream(const std::string& address, handler serve)
+platform_upstream::platform_upstream(const std::string& address, handler serve,
+                                     bool serves_health_checks)
     : acceptor_(context_, ParseAddress(address)),
       serve_(std::move(serve)),
+      serves_health_checks_(serves_health_checks),
       accept_thread_([this] { AcceptLoop(); }) {}
 
 platform_upstream::~platform_upstream() {
@@ -149,7 +151,8 @@
       if (error) return;
     }
     received.erase(0, body);
-    const bool is_health_check = head.starts_with("GET /health ");
+    const bool is_health_check =
+        !serves_health_checks_ && head.starts_with("GET /health ");
     const bool keeps = is_health_check ? WriteUpstreamAnswer(socket, head, "")
                                        : serve_(socket, head);
     if (keeps) continue;
--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -65,7 +65,10 @@
   using handler = std::function<bool(boost::asio::ip::tcp::socket& socket,
                                      const std::string& head)>;
 
-  platform_upstream(const std::string& address, handler serve);
+  // Health checks are answered with 200 unless `serves_health_checks`: then
+  // `serve` gets them as well.
+  platform_upstream(const std::string& address, handler serve,
+                    bool serves_health_checks = false);
   ~platform_upstream();
   platform_upstream(const platform_upstream&) = delete;
   platform_upstream& operator=(const platform_upstream&) = delete;
@@ -84,6 +87,7 @@
   boost::asio::io_context context_;
   boost::asio::ip::tcp::acceptor acceptor_;
   const handler serve_;
+  const bool serves_health_checks_;
   std::mutex mutex_;
   std::list<served_connection> connections_;
   std::thread accept_thread_;
