--- a/src/controllers/departure_tracker.cc
+++ b/src/controllers/departure_tracker.cc
@@ -53,7 +53,7 @@
       io_loop::SleepFor(kReadInterval);
       continue;
     }
-    Load(std::move(*recorded));
+    Load(*recorded);
     log_.Write(event_id::kDeparturesLoaded,
                {{"node", node_},
                 {"departures", durable_.All().size()},
@@ -63,7 +63,7 @@
   }
 }
 
-void departure_tracker::Load(std::vector<upstream_departure> recorded) {
+void departure_tracker::Load(const std::vector<upstream_departure>& recorded) {
   // What was added meanwhile is newer.
   const auto added = departures_.All();
   departures_.Restore({});
--- a/src/controllers/departure_tracker.h
+++ b/src/controllers/departure_tracker.h
@@ -52,7 +52,7 @@
 
  private:
   void LoadLoop();
-  void Load(std::vector<upstream_departure> recorded);
+  void Load(const std::vector<upstream_departure>& recorded);
   [[nodiscard]] bool IsDurable(const upstream_departure& departure) const;
 
   const clock_source& clock_;
--- a/src/http/message_reader.h
+++ b/src/http/message_reader.h
@@ -21,10 +21,10 @@
 // Parses the bytes in `buffer` and removes those that were used. The library
 // throws for a field that it cannot store, and its own read functions let that
 // escape into the event loop, which ends the process.
-template <bool kIsRequest>
+template <bool IsRequest>
 boost::system::error_code ParseBuffered(
     boost::beast::flat_buffer& buffer,
-    boost::beast::http::basic_parser<kIsRequest>& parser) {
+    boost::beast::http::basic_parser<IsRequest>& parser) {
   boost::system::error_code error;
   try {
     buffer.consume(parser.put(buffer.data(), error));
@@ -39,10 +39,10 @@
 // Parses what is in `buffer` or, if that is not enough, what arrives next. The
 // parser has made progress unless an error is returned: one of the library's,
 // or header_limit for a field that is too long to be stored.
-template <bool kIsRequest>
+template <bool IsRequest>
 boost::system::error_code ReadSome(
     boost::beast::tcp_stream& stream, boost::beast::flat_buffer& buffer,
-    boost::beast::http::basic_parser<kIsRequest>& parser) {
+    boost::beast::http::basic_parser<IsRequest>& parser) {
   namespace http = boost::beast::http;
   constexpr std::size_t kMaxReadBytes = 64UL * 1024;
   while (true) {
--- a/tests/http_exchange_test.cc
+++ b/tests/http_exchange_test.cc
@@ -1,5 +1,7 @@
 // Pipelining in the HTTP server, and irregular answers of upstreams in the HTTP
 // client.
+#include <fmt/format.h>
+
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
 #include <memory>
@@ -460,20 +462,21 @@
 // malformed, and the next call is answered.
 BOOST_AUTO_TEST_CASE(field_of_any_length_in_an_answer_ends_no_process) {
   const std::string status = "HTTP/1.1 200 OK\r\nX-Id: 0\r\n";
+  const std::string body = "Content-Length: 5\r\n\r\nwhole";
   const std::string chunked =
       status + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
   for (const std::size_t length : kFieldLengths) {
     const std::string text(length, 'x');
     const std::vector<std::string> answers = {
-        chunked + "X-Trace: " + text + "\r\n\r\n",
-        chunked + text + ": value\r\n\r\n",
-        chunked + "X-A: 1\r\nX-Trace: " + text + "\r\nX-B: 2\r\n\r\n",
-        status + "X-Trace: " + text + "\r\nContent-Length: 5\r\n\r\nwhole",
-        status + text + ": value\r\nContent-Length: 5\r\n\r\nwhole",
-        "HTTP/1.1 200 " + text +
-            "\r\nX-Id: 0\r\nContent-Length: 5\r\n\r\nwhole",
-        status + "Transfer-Encoding: chunked\r\n\r\n5;x=" + text +
-            "\r\nwhole\r\n0\r\n\r\n",
+        fmt::format("{}X-Trace: {}\r\n\r\n", chunked, text),
+        fmt::format("{}{}: value\r\n\r\n", chunked, text),
+        fmt::format("{}X-A: 1\r\nX-Trace: {}\r\nX-B: 2\r\n\r\n", chunked, text),
+        fmt::format("{}X-Trace: {}\r\n{}", status, text, body),
+        fmt::format("{}{}: value\r\n{}", status, text, body),
+        fmt::format("HTTP/1.1 200 {}\r\nX-Id: 0\r\n{}", text, body),
+        fmt::format("{}Transfer-Encoding: chunked\r\n\r\n5;x={}\r\nwhole\r\n"
+                    "0\r\n\r\n",
+                    status, text),
     };
     for (std::size_t form = 0; form < answers.size(); ++form) {
       const client_run run = CallSequentially(
@@ -552,12 +555,14 @@
   for (const std::size_t length : kFieldLengths) {
     const std::string text(length, 'x');
     const std::string end = "Content-Length: 0\r\n\r\n";
-    requests.push_back(chunked + "X-Trace: " + text + "\r\n\r\n");
-    requests.push_back(chunked + text + ": value\r\n\r\n");
-    requests.push_back(line + "X-Trace: " + text + "\r\n" + end);
-    requests.push_back(line + text + ": value\r\n" + end);
-    requests.push_back("POST /" + text + " HTTP/1.1\r\nHost: h\r\n" + end);
-    requests.push_back(text + " / HTTP/1.1\r\nHost: h\r\n" + end);
+    requests.push_back(fmt::format("{}X-Trace: {}\r\n\r\n", chunked, text));
+    requests.push_back(fmt::format("{}{}: value\r\n\r\n", chunked, text));
+    requests.push_back(fmt::format("{}X-Trace: {}\r\n{}", line, text, end));
+    requests.push_back(fmt::format("{}{}: value\r\n{}", line, text, end));
+    requests.push_back(
+        fmt::format("POST /{} HTTP/1.1\r\nHost: h\r\n{}", text, end));
+    requests.push_back(
+        fmt::format("{} / HTTP/1.1\r\nHost: h\r\n{}", text, end));
     requests.emplace_back(kLateRequest);
   }
   for (const std::size_t header_limit : {16UL * 1024, 1024UL * 1024}) {
--- a/tests/support/soak_run.cc
+++ b/tests/support/soak_run.cc
@@ -39,6 +39,7 @@
 
   soak_result Run() {
     fleet_.Start();
+    upstreams_.reserve(fleet_.Nodes());
     for (std::size_t i = 0; i < fleet_.Nodes(); ++i) {
       upstreams_.push_back(std::make_unique<soak_upstream>(
           record_, fleet_.Upstream(i), fleet_.Announcements(i),
@@ -65,6 +66,8 @@
 
   void RunThreads() {
     std::vector<std::thread> threads;
+    constexpr std::size_t kOtherThreads = 5;
+    threads.reserve(options_.callers + options_.fault_threads + kOtherThreads);
     for (std::size_t i = 0; i < options_.callers; ++i)
       threads.emplace_back([this, seed = NextSeed()] { CallLoop(seed); });
     for (std::size_t i = 0; i < options_.fault_threads; ++i)
