--- a/tests/http_exchange_test.cc
+++ b/tests/http_exchange_test.cc
@@ -1,6 +1,6 @@
 // Pipelining in the HTTP server, and irregular answers of upstreams in the HTTP
 // client.
-#include <fmt/format.h>
+#include "support/http_exchange.h"
 
 #include <algorithm>
 #include <boost/test/unit_test.hpp>
@@ -26,19 +26,6 @@
 using std::chrono::milliseconds;
 using std::chrono::seconds;
 
-constexpr auto kTestTimeout = seconds(20);
-
-template <class Body>
-void RunOnLoop(Body body) {
-  std::thread thread([&body] {
-    io_loop loop;
-    body(loop);
-  });
-  thread.join();
-}
-
-time_point TestDeadline() { return system_clock_source().Now() + kTestTimeout; }
-
 // Answers each request with its path; answers /slow only after /quick was
 // handled, and /gone after its caller disconnected.
 class ordered_handler final : public http_handler {
@@ -61,36 +48,6 @@
   fiber_signal<bool> quick_done_;
 };
 
-// Counts the requests and answers each with its path, /slow not before `open`.
-class counting_handler final : public http_handler {
- public:
-  http_response Handle(const http_request& request,
-                       cancel_source& /*caller_disconnected*/) override {
-    ++handled;
-    if (request.target == "/slow") open.WaitUntil(TestDeadline());
-    return MakeTextResponse(200, request.target);
-  }
-
-  int handled = 0;
-  fiber_signal<bool> open;
-};
-
-// Sends `bytes` and reads until the received bytes contain `wanted`.
-std::string SendAndRead(tcp::socket& socket, const std::string& bytes,
-                        const std::string& wanted) {
-  boost::system::error_code error;
-  boost::asio::async_write(socket, boost::asio::buffer(bytes),
-                           FiberWait(error));
-  std::string received;
-  while (!error && received.find(wanted) == std::string::npos) {
-    std::string chunk(4096, '\0');
-    chunk.resize(
-        socket.async_read_some(boost::asio::buffer(chunk), FiberWait(error)));
-    received += chunk;
-  }
-  return received;
-}
-
 constexpr std::string_view kLateRequest =
     "POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 0\r\n\r\n";
 
@@ -139,83 +96,6 @@
   tcp::socket socket_;
 };
 
-// Returns the begin of a server's answer to each of `requests`, each on its own
-// connection; empty where that ended without one.
-std::vector<std::string> AnswersTo(const std::vector<std::string>& requests,
-                                   std::size_t header_limit) {
-  std::vector<std::string> answers;
-  RunOnLoop([&](io_loop& loop) {
-    const system_clock_source clock;
-    fiber_group fibers;
-    counting_handler handler;
-    const auto server = http_server::MakeHttpServer(
-        loop, "127.0.0.1", 0,
-        http_server_options{.header_limit_bytes = header_limit}, clock);
-    server->Start(handler, fibers);
-    for (const std::string& request : requests) {
-      tcp::socket socket(loop.context());
-      boost::system::error_code error;
-      socket.async_connect(
-          {boost::asio::ip::address_v4::loopback(), server->Port()},
-          FiberWait(error));
-      answers.push_back(SendAndRead(socket, request, "\r\n\r\n"));
-      socket.close(error);
-    }
-    server->Drain();
-    fibers.WaitEmpty(TestDeadline());
-  });
-  return answers;
-}
-
-std::string Answer(const std::string& id, const std::string& body) {
-  return "HTTP/1.1 200 OK\r\nX-Id: " + id +
-         "\r\nContent-Length: " + std::to_string(body.size()) + "\r\n\r\n" +
-         body;
-}
-
-struct client_run {
-  std::vector<std::string> bodies;  // The error number for a failed call.
-  int connections = 0;
-};
-
-enum class connection_end : std::uint8_t { kByClient, kAfterAnswer };
-
-// Sends `calls` requests one after another to an upstream that answers as
-// `script` says.
-client_run CallSequentially(const scripted_upstream::answer_maker& script,
-                            int calls,
-                            connection_end end = connection_end::kByClient) {
-  client_run run;
-  RunOnLoop([&](io_loop& loop) {
-    const system_clock_source clock;
-    fiber_group fibers;
-    scripted_upstream upstream(loop, fibers, script);
-    if (end == connection_end::kAfterAnswer) upstream.CloseAfterAnswers();
-    const auto client = http_client::MakeHttpClient(
-        loop, "127.0.0.1", upstream.Port(),
-        http_client_options{.echoed_field = "X-Id"}, clock);
-    for (int call = 0; call < calls; ++call) {
-      cancel_source never;
-      const auto answer =
-          client->Call({.method = "GET",
-                        .target = "/",
-                        .headers = {{"X-Id", std::to_string(call)}}},
-                       clock.Now() + seconds(5), never);
-      run.bodies.push_back(
-          answer ? answer.value().body
-                 : std::to_string(static_cast<int>(answer.error())));
-    }
-    run.connections = upstream.Connections();
-    upstream.Stop();
-    fibers.WaitEmpty(TestDeadline());
-  });
-  return run;
-}
-
-std::string ErrorText(http_call_error error) {
-  return std::to_string(static_cast<int>(error));
-}
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(http_exchange_test)
@@ -451,136 +331,6 @@
   }
 }
 
-// Lengths around each limit of the library and of this code: fields hold 65,533
-// bytes, heads 65,536, and buffers twice as many.
-constexpr std::size_t kFieldLengths[] = {
-    1,      32'767, 32'768, 65'500,  65'532,  65'533,  65'534, 65'535,
-    65'536, 65'537, 70'000, 100'000, 131'071, 131'072, 200'000};
-
-// Guards against one answer that ends the process (review/7): the library
-// throws for a trailer field that it cannot store. The answer is whole or
-// malformed, and the next call is answered.
-BOOST_AUTO_TEST_CASE(field_of_any_length_in_an_answer_ends_no_process) {
-  const std::string status = "HTTP/1.1 200 OK\r\nX-Id: 0\r\n";
-  const std::string body = "Content-Length: 5\r\n\r\nwhole";
-  const std::string chunked =
-      status + "Transfer-Encoding: chunked\r\n\r\n5\r\nwhole\r\n0\r\n";
-  for (const std::size_t length : kFieldLengths) {
-    const std::string text(length, 'x');
-    const std::vector<std::string> answers = {
-        fmt::format("{}X-Trace: {}\r\n\r\n", chunked, text),
-        fmt::format("{}{}: value\r\n\r\n", chunked, text),
-        fmt::format("{}X-A: 1\r\nX-Trace: {}\r\nX-B: 2\r\n\r\n", chunked, text),
-        fmt::format("{}X-Trace: {}\r\n{}", status, text, body),
-        fmt::format("{}{}: value\r\n{}", status, text, body),
-        fmt::format("HTTP/1.1 200 {}\r\nX-Id: 0\r\n{}", text, body),
-        fmt::format("{}Transfer-Encoding: chunked\r\n\r\n5;x={}\r\nwhole\r\n"
-                    "0\r\n\r\n",
-                    status, text),
-    };
-    for (std::size_t form = 0; form < answers.size(); ++form) {
-      const client_run run = CallSequentially(
-          [&](const std::string& head) {
-            return GetHeadField(head, "X-Id") == "0" ? answers[form]
-                                                     : Answer("1", "next");
-          },
-          2);
-      const std::string malformed = ErrorText(http_call_error::kMalformed);
-      BOOST_TEST(
-          (run.bodies[0] == "whole" || run.bodies[0] == malformed),
-          "form " << form << ", " << length << " bytes: " << run.bodies[0]);
-      BOOST_TEST(run.bodies[1] == "next");
-    }
-  }
-}
-
-// Guards against a rejection that its caller never sees: a connection that is
-// closed while the caller still sends is reset.
-BOOST_AUTO_TEST_CASE(rejection_reaches_a_caller_that_sends_on) {
-  const std::string body(64UL * 1024 * 1024, 'b');
-  const std::string line = "POST /quick HTTP/1.1\r\nHost: h\r\n";
-  const auto answers =
-      AnswersTo({line + "Content-Length: " + std::to_string(body.size()) +
-                     "\r\n\r\n" + body,
-                 line + "Transfer-Encoding: chunked\r\n\r\n4000000\r\n" + body,
-                 line + "X-Long: " + body + "\r\n\r\n"},
-                16UL * 1024);
-  BOOST_TEST(answers[0].starts_with("HTTP/1.1 413 "));
-  BOOST_TEST(answers[1].starts_with("HTTP/1.1 413 "));
-  BOOST_TEST(answers[2].starts_with("HTTP/1.1 431 "));
-}
-
-// Guards against a caller that ends the process by its choice of method: the
-// library throws when it prepares a TRACE request with a body. The upstream
-// gets method and body as they are.
-BOOST_AUTO_TEST_CASE(request_of_any_method_with_a_body_is_sent) {
-  for (const std::string method :
-       {"GET", "HEAD", "POST", "PUT", "DELETE", "TRACE", "OPTIONS", "CONNECT",
-        "PATCH", "PURGE", "M-SEARCH", "X"}) {
-    for (const std::string body : {"", "body"}) {
-      std::string head;
-      std::string answer;
-      RunOnLoop([&](io_loop& loop) {
-        const system_clock_source clock;
-        fiber_group fibers;
-        scripted_upstream upstream(loop, fibers, [&](const std::string& got) {
-          head = got;
-          return Answer("0", method == "HEAD" ? "" : "done");
-        });
-        upstream.CloseAfterAnswers();
-        const auto client = http_client::MakeHttpClient(
-            loop, "127.0.0.1", upstream.Port(), http_client_options{}, clock);
-        cancel_source never;
-        const auto result =
-            client->Call({.method = method, .target = "/", .body = body},
-                         clock.Now() + seconds(5), never);
-        if (result) answer = result.value().body;
-        upstream.Stop();
-        fibers.WaitEmpty(TestDeadline());
-      });
-      BOOST_TEST(head.starts_with(method + " / HTTP/1.1\r\n"), method);
-      BOOST_TEST(answer == (method == "HEAD" ? "" : "done"), method);
-      if (!body.empty())
-        BOOST_TEST(GetHeadField(head, "Content-Length") == "4", method);
-    }
-  }
-}
-
-// The same in requests, with limits below and above those of the library.
-BOOST_AUTO_TEST_CASE(field_of_any_length_in_a_request_ends_no_process) {
-  const std::string line = "POST /quick HTTP/1.1\r\nHost: h\r\n";
-  const std::string chunked =
-      line + "Transfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n";
-  std::vector<std::string> requests;
-  for (const std::size_t length : kFieldLengths) {
-    const std::string text(length, 'x');
-    const std::string end = "Content-Length: 0\r\n\r\n";
-    requests.push_back(fmt::format("{}X-Trace: {}\r\n\r\n", chunked, text));
-    requests.push_back(fmt::format("{}{}: value\r\n\r\n", chunked, text));
-    requests.push_back(fmt::format("{}X-Trace: {}\r\n{}", line, text, end));
-    requests.push_back(fmt::format("{}{}: value\r\n{}", line, text, end));
-    requests.push_back(
-        fmt::format("POST /{} HTTP/1.1\r\nHost: h\r\n{}", text, end));
-    requests.push_back(
-        fmt::format("{} / HTTP/1.1\r\nHost: h\r\n{}", text, end));
-    requests.emplace_back(kLateRequest);
-  }
-  for (const std::size_t header_limit : {16UL * 1024, 1024UL * 1024}) {
-    const auto answers = AnswersTo(requests, header_limit);
-    for (std::size_t i = 0; i < requests.size(); ++i) {
-      const bool is_sound = requests[i] == kLateRequest;
-      // The server may end the connection before the request is sent whole.
-      const bool is_allowed =
-          answers[i].starts_with("HTTP/1.1 200 ") ||
-          (!is_sound &&
-           (answers[i].empty() || answers[i].starts_with("HTTP/1.1 4")));
-      BOOST_TEST(is_allowed, requests[i].substr(0, 100)
-                                 << ", limit " << header_limit << ": "
-                                 << answers[i].substr(0, 100));
-    }
-  }
-}
-
 // Guards against bodies without an end that exhaust the memory, or that end the
 // calls of others when the limit on all of them is reached.
 BOOST_AUTO_TEST_CASE(bodies_without_end_share_a_limit_and_spare_others) {
