--- a/src/wire/control_client.cc
+++ b/src/wire/control_client.cc
@@ -203,6 +203,10 @@
   return channels_[registrar_]->Link().Peer();
 }
 
+bool control_client::IsRegistered(const endpoint& address) const {
+  return Registrar() == address && channels_[registrar_]->Link().IsUp();
+}
+
 bool control_client::SendToRegistrar(const message& content) {
   return channels_[registrar_]->Link().TrySend(content);
 }
@@ -421,6 +425,9 @@
   if (!source.Link().IsSuspended()) source.MarkLost(clock_.Now());
   if (!is_registrar) return;
   observer_->OnRegistrarDown();
+  // Otherwise a lost control VM that accepts connections would be up again
+  // before the next one has answered, or is known not to.
+  source.Suspend();
   registrar_ = NextRegistrar();
   channels_[registrar_]->EnsureStarted(channels_[registrar_]->Fibers());
   if (channels_[registrar_]->Link().IsUp()) MoveToRegistrar(registrar_);
--- a/src/wire/control_client.h
+++ b/src/wire/control_client.h
@@ -78,6 +78,9 @@
   // Returns the address of the registrar, which need not be connected.
   [[nodiscard]] const endpoint& Registrar() const;
 
+  // Returns whether the control VM at `address` is the registrar and connected.
+  [[nodiscard]] bool IsRegistered(const endpoint& address) const;
+
   // Sends `content` to the registrar. Returns false if it is not connected or
   // the send queue is full.
   bool SendToRegistrar(const message& content);
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -1,11 +1,15 @@
 // A node's choice among control VMs of which some do not answer.
 #include "wire/control_client.h"
 
+#include <sys/socket.h>
+
+#include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
 #include <string>
 #include <thread>
+#include <vector>
 
 #include "base/system_clock_source.h"
 #include "controllers/control_service.h"
@@ -61,6 +65,98 @@
   };
 };
 
+// A control VM that is cut off from the others: it accepts a node and closes
+// the connection some time after the node's lease, again and again.
+class isolated_vm final : public frame_handler_factory {
+ public:
+  explicit isolated_vm(fiber_group& fibers) : fibers_(fibers) {}
+  std::shared_ptr<frame_handler> MakeFrameHandler() override {
+    return std::make_shared<handler>(fibers_);
+  }
+
+ private:
+  class handler final : public frame_handler {
+   public:
+    explicit handler(fiber_group& fibers) : fibers_(fibers) {}
+    void OnMessage(frame_connection& connection, message content) override {
+      if (std::holds_alternative<hello>(content)) {
+        connection.TrySend(hello{.protocol_version = kProtocolVersion});
+      }
+      if (!std::holds_alternative<lease_renewal>(content)) return;
+      fibers_.Start([weak = connection.weak_from_this()] {
+        io_loop::SleepFor(kIsolatedTime);
+        if (const auto open = weak.lock()) open->Close();
+      });
+    }
+    void OnClosed(frame_connection& /*connection*/) override {}
+
+   private:
+    // The time that an isolated control VM leaves a node, and a check.
+    static constexpr duration kIsolatedTime = std::chrono::milliseconds(350);
+    fiber_group& fibers_;
+  };
+  fiber_group& fibers_;
+};
+
+// A control VM that ends each connection as soon as it is open.
+class closing_vm final : public frame_handler_factory {
+ public:
+  std::shared_ptr<frame_handler> MakeFrameHandler() override {
+    return std::make_shared<handler>();
+  }
+
+ private:
+  class handler final : public frame_handler {
+   public:
+    void OnMessage(frame_connection& connection, message /*content*/) override {
+      connection.Close();
+    }
+    void OnClosed(frame_connection& /*connection*/) override {}
+  };
+};
+
+// An address at which nothing answers: the queue of connections that wait to be
+// accepted is full, so that the kernel drops further ones.
+class unreachable_vm {
+ public:
+  explicit unreachable_vm(io_loop& loop)
+      : acceptor_(loop.context()),
+        first_(loop.context()),
+        second_(loop.context()) {
+    const boost::asio::ip::tcp::endpoint any(
+        boost::asio::ip::address_v4::loopback(), 0);
+    acceptor_.open(any.protocol());
+    acceptor_.bind(any);
+    acceptor_.listen(0);
+    const auto address = acceptor_.local_endpoint();
+    for (auto* each : {&first_, &second_}) {
+      each->open(any.protocol());
+      each->non_blocking(true);
+      // Asio's own connect would wait.
+      static_cast<void>(::connect(each->native_handle(), address.data(),
+                                  static_cast<socklen_t>(address.size())));
+    }
+  }
+  [[nodiscard]] endpoint Address() const {
+    return {"127.0.0.1", acceptor_.local_endpoint().port()};
+  }
+
+ private:
+  boost::asio::ip::tcp::acceptor acceptor_;
+  boost::asio::ip::tcp::socket first_;
+  boost::asio::ip::tcp::socket second_;
+};
+
+// What stands at an address of the list.
+enum class address_kind : std::uint8_t {
+  kCurrent,
+  kIsolated,
+  kUnreachable,
+  kRefusing,
+  kSilent,
+  kClosing
+};
+
 // Renews a lease with each new registrar.
 class lease_sender final : public control_observer {
  public:
@@ -111,6 +207,103 @@
   }).join();
 }
 
+// Guards against a node that goes back and forth between an isolated control VM
+// and an address that is gone, and never reaches the current one (review/8).
+// All lists of four addresses of which one is current, with each as the first.
+BOOST_AUTO_TEST_CASE(
+    current_control_vm_is_reached_in_every_order_of_addresses) {
+  constexpr std::size_t kAddresses = 4;
+  constexpr std::array kOthers = {
+      address_kind::kIsolated, address_kind::kUnreachable,
+      address_kind::kRefusing, address_kind::kSilent, address_kind::kClosing};
+  std::thread([&] {
+    io_loop loop;
+    const system_clock_source clock;
+    fiber_group fibers;
+    answering_vm current;
+    isolated_vm isolated(fibers);
+    closing_vm closing;
+    const unreachable_vm unreachable(loop);
+    const suspended_vm silent(loop);
+    const auto listen = [&](frame_handler_factory& vm) {
+      auto listener =
+          frame_listener::MakeFrameListener(loop, {"127.0.0.1", 0}, clock);
+      listener->Start(vm, fibers);
+      return listener;
+    };
+    const auto current_listener = listen(current);
+    const auto isolated_listener = listen(isolated);
+    const auto closing_listener = listen(closing);
+    // Others with the same behaviour at their own addresses.
+    const auto second_isolated = listen(isolated);
+    const auto address_of = [&](address_kind kind, std::size_t at) -> endpoint {
+      switch (kind) {
+        case address_kind::kCurrent:
+          return current_listener->Address();
+        case address_kind::kIsolated:
+          return at % 2 == 0 ? isolated_listener->Address()
+                             : second_isolated->Address();
+        case address_kind::kUnreachable:
+          return unreachable.Address();
+        case address_kind::kRefusing:
+          return {"127.0.0.1", 1};
+        case address_kind::kSilent:
+          return silent.Address();
+        case address_kind::kClosing:
+          return closing_listener->Address();
+      }
+      return {};
+    };
+    int tried = 0;
+    int reached = 0;
+    duration slowest{0};
+    fiber_group cases;
+    const auto run = [&](std::vector<endpoint> addresses, std::size_t first) {
+      const endpoint wanted = current_listener->Address();
+      lease_sender sender;
+      const auto client = control_client::MakeControlClient(
+          loop, clock, {"node-1", 1}, addresses, first, &sender);
+      sender.client = client.get();
+      fiber_group own;
+      const time_point started = clock.Now();
+      client->Start(own);
+      // Each of the others may take a connect and a hello, or keep the node for
+      // a while.
+      const duration limit =
+          (kAddresses - 1) * (2 * kPeerConnectTimeout + kRegistrarMoveTime);
+      while (!client->IsRegistered(wanted) && clock.Now() - started < limit)
+        io_loop::SleepFor(kPollInterval);
+      slowest = std::max(slowest, clock.Now() - started);
+      reached += client->IsRegistered(wanted) ? 1 : 0;
+      client->Stop();
+      own.WaitEmpty(clock.Now() + kWaitLimit);
+    };
+    for (std::size_t place = 0; place < kAddresses; ++place) {
+      for (const address_kind a : kOthers) {
+        for (const address_kind b : kOthers) {
+          for (const address_kind c : kOthers) {
+            std::vector<endpoint> addresses = {
+                address_of(a, 0), address_of(b, 1), address_of(c, 0)};
+            addresses.insert(
+                addresses.begin() + static_cast<std::ptrdiff_t>(place),
+                current_listener->Address());
+            const std::size_t first = static_cast<std::size_t>(tried) % 4;
+            ++tried;
+            cases.Start([&run, addresses, first] { run(addresses, first); });
+          }
+        }
+      }
+    }
+    cases.WaitEmpty(clock.Now() + 3 * kWaitLimit);
+    BOOST_TEST_MESSAGE("slowest ms: " << slowest.count() / 1000);
+    BOOST_TEST(reached == tried);
+    for (const auto* each : {&current_listener, &isolated_listener,
+                             &closing_listener, &second_isolated})
+      (*each)->Stop();
+    fibers.WaitEmpty(clock.Now() + kWaitLimit);
+  }).join();
+}
+
 // Guards against a request above the limit of one message, which ended the
 // process that sent it.
 BOOST_AUTO_TEST_CASE(request_too_large_for_a_message_is_rejected) {
