--- a/src/http/http_server.cc
+++ b/src/http/http_server.cc
@@ -212,7 +212,7 @@
   // behind a request whose answer will be the last; the caller sends it again
   // elsewhere.
   [[nodiscard]] bool TakesRequests() const {
-    if (write_ended_) return false;
+    if (has_last_answer_) return false;
     return !draining_ || exchanges_.empty() ||
            (exchanges_.size() == 1 && writing_kept_alive_);
   }
@@ -234,7 +234,7 @@
   // Omitted while earlier answers are pending: callers send the body after a
   // timeout anyway.
   void SendContinue(const http::request<http::string_body>& request) {
-    if (!exchanges_.empty() || writing_) return;
+    if (!exchanges_.empty() || writing_ || has_last_answer_) return;
     http::response<http::empty_body> interim{http::status::continue_,
                                              request.version()};
     boost::system::error_code error;
@@ -253,7 +253,10 @@
     return WatchForDisconnect();
   }
 
+  // A request that was half read when the last answer was decided on has no
+  // answer any more, so it must not run either.
   bool Handle(http::request<http::string_body> received) {
+    if (has_last_answer_) return WatchForDisconnect();
     const auto pending = std::make_shared<exchange>();
     pending->version = received.version();
     pending->wants_keep_alive = received.keep_alive();
@@ -294,6 +297,7 @@
     // Requests that were already read are still answered on this connection.
     const bool is_last = draining_ && exchanges_.size() == 1;
     const bool keep_alive = answered.wants_keep_alive && !is_last;
+    has_last_answer_ = !keep_alive;
     const beast_response sent =
         ToBeast(std::move(*answered.response), answered.version, keep_alive,
                 answered.head_only);
@@ -303,6 +307,7 @@
     http::async_write(stream_, sent, FiberWait(error));
     writing_kept_alive_ = false;
     if (!error && keep_alive) return;
+    has_last_answer_ = true;
     write_ended_ = true;
     if (!error && (draining_ || rejected_)) return Linger();
     boost::system::error_code ignored;
@@ -348,7 +353,10 @@
   time_point idle_since_;
   bool writing_ = false;
   bool writing_kept_alive_ = false;  // An answer after which more may follow.
-  bool write_ended_ = false;         // No more answers are written.
+  // An answer was begun that announces the end of the connection, or could not
+  // be sent.
+  bool has_last_answer_ = false;
+  bool write_ended_ = false;  // No more answers are written.
   bool idle_ = false;
   bool draining_ = false;
   bool rejected_ = false;  // A request was not read to its end.
--- a/tests/http_exchange_test.cc
+++ b/tests/http_exchange_test.cc
@@ -71,10 +71,14 @@
   draining_exchange(const draining_exchange&) = delete;
   draining_exchange& operator=(const draining_exchange&) = delete;
 
-  void StartSlowRequestAndDrain() {
+  void StartSlowRequest() {
     Send("GET /slow HTTP/1.1\r\nHost: h\r\n\r\n");
     while (handler_.handled == 0) io_loop::SleepFor(milliseconds(5));
-    server_->Drain();
+  }
+  void Drain() { server_->Drain(); }
+  void StartSlowRequestAndDrain() {
+    StartSlowRequest();
+    Drain();
   }
   void Send(std::string_view bytes) {
     boost::system::error_code error;
@@ -166,6 +170,32 @@
   BOOST_TEST(handled == 1);
 }
 
+// Guards against a request that is run and never answered (review/9): it was
+// half read when the answer before it announced that the connection closes.
+BOOST_AUTO_TEST_CASE(request_half_read_at_last_answer_is_not_handled) {
+  constexpr std::string_view kHead =
+      "POST /late HTTP/1.1\r\nHost: h\r\nContent-Length: 8\r\n";
+  const std::vector<std::pair<std::string, std::string>> halves = {
+      {"POST /la", std::string(kLateRequest).substr(8)},
+      {std::string(kHead) + "\r\nhalf", "body"},
+      {std::string(kHead) + "Expect: 100-continue\r\n\r\n", "halfbody"},
+  };
+  for (const auto& [first, second] : halves) {
+    RunOnLoop([&](io_loop& loop) {
+      draining_exchange exchange(loop);
+      exchange.StartSlowRequest();
+      exchange.Send(first);
+      io_loop::SleepFor(milliseconds(20));
+      exchange.Drain();
+      const std::string answer = exchange.ReadSlowAnswerAndEnd();
+      BOOST_TEST(answer.find("Connection: close") != std::string::npos);
+      exchange.Send(second);
+      io_loop::SleepFor(milliseconds(50));
+      BOOST_TEST(exchange.Handled() == 1, first);
+    });
+  }
+}
+
 BOOST_AUTO_TEST_CASE(disconnected_caller_is_detected_while_its_request_runs) {
   bool noticed = false;
   RunOnLoop([&](io_loop& loop) {
