A later incarnation that announces itself early is used once it answers

After a leave without a start, an announcement of a later incarnation with the same id was dropped until the health check had answered for it, and the upstream then waited for its next report. It is held now and applied with the health check. Ids of leaves are bounded, since they are recorded.

--- a/src/controllers/instance_announcements.cc
+++ b/src/controllers/instance_announcements.cc
@@ -18,16 +18,23 @@
 // share they work at full speed.
 constexpr double kFullSpeedShare = 0.8;
 // Longer names of instances and services are rejected; they travel in every
-// lease and load report.
+// lease and load report, and ids are recorded with departures.
 constexpr std::size_t kMaxNameBytes = 256;
 constexpr std::size_t kHealthAnswerBytes = 64UL * 1024;
 constexpr std::string_view kEarlierIncarnation =
     "it is of an earlier incarnation of this instance";
+constexpr std::string_view kInvalidInstance =
+    "the instance's id is empty or too long";
+
+bool IsValidName(std::string_view name) {
+  return !name.empty() && name.size() <= kMaxNameBytes;
+}
 
 }  // namespace
 
 std::optional<std::string_view> instance_server::RejectionReason(
     const instance_withdrawal& withdrawn) const {
+  if (!IsValidName(withdrawn.instance)) return kInvalidInstance;
   if (IsEarlierIncarnation(withdrawn.instance, withdrawn.started_at_ms))
     return kEarlierIncarnation;
   return std::nullopt;
@@ -42,8 +49,7 @@
 
 std::optional<std::string_view> instance_server::RejectionReason(
     const instance_announcement& announced) const {
-  if (announced.instance.empty() || announced.instance.size() > kMaxNameBytes)
-    return "the instance's id is empty or too long";
+  if (!IsValidName(announced.instance)) return kInvalidInstance;
   if (announced.service.size() > kMaxNameBytes)
     return "the service's name is too long";
   const auto address = endpoint::Parse(announced.address);
@@ -95,6 +101,7 @@
                 {"started_at_ms", announced.started_at_ms},
                 {"sequence", announced.sequence},
                 {"reason", "a later incarnation is known, or it has left"}});
+    if (MayBeLaterIncarnation(announced)) HoldAnnouncement(announced);
     return;
   }
   const bool is_same_id =
@@ -133,6 +140,26 @@
          AnsweringInstance() != announced.instance;
 }
 
+// Returns whether the announcement counts once the upstream's health check
+// answers for its instance; see HasLeft.
+bool instance_server::MayBeLaterIncarnation(
+    const instance_announcement& announced) const {
+  const auto departure = departures_.Find(announced.instance);
+  return departure && !departure->start_known &&
+         announced.started_at_ms > departure->started_at_ms;
+}
+
+void instance_server::ApplyProvedAnnouncement() {
+  const bool is_proved =
+      held_announcement_ && held_announcement_->instance == AnsweringInstance();
+  if (is_proved) ApplyHeldAnnouncement();
+}
+
+void instance_server::ApplyHeldAnnouncement() {
+  const auto held = std::exchange(held_announcement_, std::nullopt);
+  if (held) Announce(*held);
+}
+
 // If the start of the incarnation that left is not known, only the upstream's
 // own health check shows that a later one is another.
 bool instance_server::HasLeft(const instance_announcement& announced) const {
--- a/src/controllers/instance_server.cc
+++ b/src/controllers/instance_server.cc
@@ -53,10 +53,7 @@
     std::function<void(const instance_announcement&, bool)> on_change) {
   fibers_ = &fibers;
   on_change_ = std::move(on_change);
-  departures_.Start(fibers, [this] {
-    if (held_announcement_) Announce(*held_announcement_);
-    held_announcement_.reset();
-  });
+  departures_.Start(fibers, [this] { ApplyHeldAnnouncement(); });
   fibers.Start([this] { HealthLoop(); });
   fibers.Start([this] { AdvanceLoop(); });
 }
@@ -330,7 +327,7 @@
   found_instance_ = health.healthy ? health.instance : std::string();
   // A later incarnation with the same id cannot be told from one that has left
   // before it announces itself.
-  if (departures_.Find(health.instance)) return;
+  if (departures_.Find(health.instance)) return ApplyProvedAnnouncement();
   const bool is_usable = health.healthy && !health.instance.empty() &&
                          health.load && health.load->slots > 0;
   if (!is_usable) return;
@@ -361,7 +358,10 @@
     load = health.load;
     const bool proves_use =
         health.healthy && departure_count_ == departures_before;
-    if (proves_use) upstream->answering_instance = std::move(health.instance);
+    if (proves_use) {
+      upstream->answering_instance = std::move(health.instance);
+      ApplyProvedAnnouncement();
+    }
   }
   const time_point now = clock_.Now();
   upstream->reports_load = load.has_value();
--- a/src/controllers/instance_server.h
+++ b/src/controllers/instance_server.h
@@ -117,7 +117,14 @@
   // Returns the instance that answered the last health check as healthy; empty
   // if none did.
   [[nodiscard]] std::string_view AnsweringInstance() const;
+  [[nodiscard]] bool MayBeLaterIncarnation(
+      const instance_announcement& announced) const;
+  // Keeps the announcement, if it is the newest of those that are held, until
+  // ApplyHeldAnnouncement.
   void HoldAnnouncement(const instance_announcement& announced);
+  void ApplyHeldAnnouncement();
+  // Applies the held announcement if the last health check answered for it.
+  void ApplyProvedAnnouncement();
   void ReplaceUpstream(const instance_announcement& announced);
   void DrainUpstream(upstream_lifecycle& upstream);
   [[nodiscard]] load_report Report();
@@ -133,7 +140,7 @@
   std::string health_path_ = "/health";
   // Also of upstreams that were not known when they left.
   departure_tracker departures_;
-  // The newest announcement that waits for the departures to be read.
+  // Waits for the departures to be read, or for a health check.
   std::optional<instance_announcement> held_announcement_;
   // Answered the last health check while no upstream was known.
   std::string found_instance_;
--- a/tests/departure_test.cc
+++ b/tests/departure_test.cc
@@ -333,6 +333,37 @@
   });
 }
 
+// A later incarnation that announces itself before its first health check need
+// not announce itself again.
+BOOST_AUTO_TEST_CASE(later_incarnation_is_used_once_it_answers) {
+  for (const bool restarts : {false, true}) {
+    RunFixture([restarts](departure_fixture& fixture) {
+      ++fixture.current.sequence;
+      BOOST_TEST(fixture.Announce(fixture.Announcement(fixture.current)));
+      fixture.current.leaving = true;
+      BOOST_TEST(fixture.Withdraw({.instance = "i-1"}));
+      if (restarts) {
+        fixture.RestartNode();
+        io_loop::SleepFor(kSettleTime);
+      }
+      fixture.current = {.instance = "i-1", .started = 2000, .sequence = 1};
+      static_cast<void>(
+          fixture.Announce(fixture.Announcement(fixture.current)));
+      io_loop::SleepFor(milliseconds(600));
+      BOOST_TEST(fixture.IsReached(), restarts);
+    });
+  }
+}
+
+// An id is recorded with its departure, so its length is bounded.
+BOOST_AUTO_TEST_CASE(leave_with_an_odd_id_is_not_recorded) {
+  RunFixture([](departure_fixture& fixture) {
+    for (const std::string& id : {std::string(), std::string(10'000, 'i')})
+      BOOST_TEST(!fixture.Withdraw({.instance = id, .started_at_ms = 5}));
+    BOOST_TEST(fixture.store.table.Of("n1").empty());
+  });
+}
+
 BOOST_AUTO_TEST_CASE(routing_store_keeps_departures_in_its_snapshot) {
   routing_store store;
   const upstream_departure left{
