--- a/tests/departure_test.cc
+++ b/tests/platform_departure_test.cc
@@ -272,7 +272,7 @@
 
 }  // namespace
 
-BOOST_AUTO_TEST_SUITE(departure_test)
+BOOST_AUTO_TEST_SUITE(platform_departure_test)
 
 // Guards against a node that forgets a confirmed leave when it is restarted
 // (review/10), in every order of reports, leaves, replacements and restarts.
--- a/tests/platform_soak_process_test.cc
+++ b/tests/platform_soak_process_test.cc
@@ -6,7 +6,7 @@
 #include <cstdlib>
 #include <string>
 
-#include "support/soak_run.h"
+#include "support/platform_soak_run.h"
 
 namespace hornbeam {
 
--- a/tests/support/soak_run.cc
+++ b/tests/support/platform_soak_run.cc
@@ -1,4 +1,4 @@
-#include "support/soak_run.h"
+#include "support/platform_soak_run.h"
 
 #include <fmt/format.h>
 
@@ -10,7 +10,7 @@
 #include <thread>
 
 #include "support/platform_fleet.h"
-#include "support/soak_upstream.h"
+#include "support/platform_soak_upstream.h"
 #include "support/wait_until.h"
 
 namespace hornbeam {
--- a/tests/support/soak_upstream.cc
+++ b/tests/support/platform_soak_upstream.cc
@@ -1,4 +1,4 @@
-#include "support/soak_upstream.h"
+#include "support/platform_soak_upstream.h"
 
 #include <fmt/format.h>
 
