--- a/src/replication/replica_core.h
+++ b/src/replication/replica_core.h
@@ -214,6 +214,7 @@
   bool PromoteLearner(const replica_membership& membership,
                       replica_member& learner) const;
   bool RemoveSupersededVoter(replica_membership& membership) const;
+  [[nodiscard]] bool HasSurplusVoters() const;
   bool ReduceSurplusVoters(replica_membership& membership) const;
   bool DemoteLeavingVoter(replica_membership& membership) const;
   [[nodiscard]] bool IsSilent(const replica_identity& id) const;
--- a/src/replication/replica_core_leave.cc
+++ b/src/replication/replica_core_leave.cc
@@ -48,10 +48,7 @@
     return std::ranges::none_of(log_.Membership().members, can_follow);
   }
   if (!IsVoter()) return log_.MembershipIndex() <= commit_index_;
-  const bool is_surplus =
-      options_.target_voters > 0 &&
-      log_.Membership().VoterCount() > options_.target_voters;
-  return !is_surplus && !HasLearnerToPromote();
+  return !HasSurplusVoters() && !HasLearnerToPromote();
 }
 
 void replica_core::SendLeaveRequest() {
@@ -73,9 +70,7 @@
 void replica_core::MaybeTransferLeadership() {
   if (now_ < next_leave_message_ || !CanChangeMembership()) return;
   const replica_membership& membership = log_.Membership();
-  const bool is_surplus = options_.target_voters > 0 &&
-                          membership.VoterCount() > options_.target_voters;
-  if (!is_surplus && HasLearnerToPromote()) return;
+  if (!HasSurplusVoters() && HasLearnerToPromote()) return;
   const auto can_lead = [this](const replica_member& member) {
     return member.voter && member.identity != self_ &&
            WasHeardRecently(member.identity) && !IsLeaving(member.identity) &&
--- a/src/replication/replica_core_membership.cc
+++ b/src/replication/replica_core_membership.cc
@@ -152,14 +152,16 @@
   return true;
 }
 
+bool replica_core::HasSurplusVoters() const {
+  return options_.target_voters > 0 &&
+         log_.Membership().VoterCount() > options_.target_voters;
+}
+
 // Reduces the number of voters by one if it is above the target: removes a
 // silent voter, demotes one that leaves or, if all voters are active, demotes
 // one to learner, preferably one without a configured name.
 bool replica_core::ReduceSurplusVoters(replica_membership& membership) const {
-  if (options_.target_voters == 0 ||
-      membership.VoterCount() <= options_.target_voters) {
-    return false;
-  }
+  if (!HasSurplusVoters()) return false;
   auto& members = membership.members;
   const auto silent = std::ranges::find_if(members, IsSilentVoter());
   if (silent != members.end()) {
