--- a/src/controllers/instance_announcements.cc
+++ b/src/controllers/instance_announcements.cc
@@ -129,8 +129,6 @@
   upstream_->cold_until = clock_.Now() + announced.cold_start_remaining;
   const bool drains = announced.draining && !upstream_->drained;
   upstream_->announced = announced;
-  if (announced.draining)
-    departures_.Add(announced.instance, announced.started_at_ms, true);
   if (drains) DrainUpstream(*upstream_);
 }
 
@@ -186,8 +184,6 @@
   if (!address) return;
   if (upstream_)
     upstream_->Notify(upstream_->queue.Clear(), wait_result::kDrained);
-  if (announced.draining)
-    departures_.Add(announced.instance, announced.started_at_ms, true);
   upstream_ = std::make_shared<upstream_lifecycle>();
   upstream_->announced = announced;
   upstream_->cold_until = clock_.Now() + announced.cold_start_remaining;
