--- a/tests/support/platform_site.h
+++ b/tests/support/platform_site.h
@@ -132,8 +132,12 @@
   // Returns the control VM that was elected last, by the logs.
   [[nodiscard]] std::size_t LeadingControlVm() const;
 
-  // Sends one change of the routing table, a JSON document, and returns the
-  // status of the reply; 0 without one.
+  // Sends one order, a JSON document, to a control VM and returns the status of
+  // the reply; 0 without one.
+  [[nodiscard]] int Order(std::size_t index, const std::string& target,
+                          const std::string& document,
+                          std::chrono::milliseconds limit) const;
+  // Sends one change of the routing table to the first control VM.
   [[nodiscard]] int Replace(const std::string& table) const;
   // Returns a table with the given version.
   [[nodiscard]] std::string MakeTable(int version, int base_version) const;
