--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -7,6 +7,7 @@
 #include <fstream>
 #include <utility>
 
+#include "support/platform_settings.h"
 #include "support/wait_until.h"
 
 namespace hornbeam {
@@ -42,6 +43,16 @@
 constexpr int kNodeNetwork = 2;
 constexpr std::size_t kSeeds = 3;
 constexpr std::size_t kZones = 3;
+constexpr const char* kLeaseLimits =
+    "lease_interval_ms = 1000\nlease_duration_ms = 4000\n";
+constexpr const char* kNodeLimits =
+    "request_body_bytes = 67108864\nreceiving_body_bytes = 33554432\n"
+    "idle_timeout_ms = 20000\nheader_timeout_ms = 10000\n"
+    "drain_timeout_ms = 5600\npeer_silence_timeout_ms = 400\n";
+
+std::string Zone(std::size_t index) {
+  return fmt::format("z{}", index % kZones);
+}
 
 }  // namespace
 
@@ -116,36 +127,35 @@
   const std::size_t index = target.self.index;
   const std::string data = PathOf(target, "-data");
   std::filesystem::create_directory(data);
-  return fmt::format(
-      "[process]\nrole = control\nname = {}\nregion = r\n"
-      "availability_zone = z{}\n"
-      "[listen]\npeers = {}\nlocal = {}\noperators = {}\n"
-      "[control]\naddresses = {}\npeers_port = {}\nmay_found = {}\n"
-      "tolerated_losses = 1\nheartbeat_ms = 150\nelection_timeout_ms = 700\n"
-      "isolation_limit_ms = 900\nstaleness_limit_ms = 2000\n"
-      "[storage]\ndata_folder = {}\n[log]\nfile = -\n"
-      "[limits]\nlease_interval_ms = 1000\nlease_duration_ms = 4000\n",
-      target.name, index % kZones, Address(kControlNetwork, index, peers_port_),
-      Address(kControlNetwork, index, local_port_), Operators(index),
-      ControlAddresses(), peers_port_, target.may_found ? 1 : 0, data);
+  return FormatSettings(platform_control_settings{
+      .name = target.name,
+      .zone = Zone(index),
+      .peers = Address(kControlNetwork, index, peers_port_),
+      .local = Address(kControlNetwork, index, local_port_),
+      .operators = Operators(index),
+      .control_addresses = ControlAddresses(),
+      .peers_port = std::to_string(peers_port_),
+      .may_found = target.may_found,
+      .tolerated_losses = 1,
+      .data_folder = data,
+      .limits = kLeaseLimits});
 }
 
 std::string platform_fleet::NodeSettings(const process& target) {
   const std::size_t index = target.self.index;
-  return fmt::format(
-      "[process]\nrole = node\nname = {}\nregion = r\n"
-      "availability_zone = z{}\nservice = {}\nplatform_terms = graceS={}\n"
-      "[listen]\ncallers = {}\npeers = {}\nlocal = {}\nannouncements = {}\n"
-      "upstream = {}\n[control]\naddresses = {}\npeers_port = {}\n"
-      "[log]\nfile = -\n[limits]\nrequest_body_bytes = 67108864\n"
-      "receiving_body_bytes = 33554432\nidle_timeout_ms = 20000\n"
-      "header_timeout_ms = 10000\ndrain_timeout_ms = 5600\n"
-      "peer_silence_timeout_ms = 400\nlease_interval_ms = 1000\n"
-      "lease_duration_ms = 4000\n",
-      target.name, index % kZones, Service(index), options_.stop_grace.count(),
-      Callers(index), Address(kNodeNetwork, index, peers_port_),
-      Address(kNodeNetwork, index, local_port_), Announcements(index),
-      Upstream(index), ControlAddresses(), peers_port_);
+  return FormatSettings(platform_node_settings{
+      .name = target.name,
+      .zone = Zone(index),
+      .service = Service(index),
+      .stop_grace = options_.stop_grace,
+      .peers = Address(kNodeNetwork, index, peers_port_),
+      .local = Address(kNodeNetwork, index, local_port_),
+      .outer_addresses =
+          fmt::format("callers = {}\nannouncements = {}\nupstream = {}\n",
+                      Callers(index), Announcements(index), Upstream(index)),
+      .control_addresses = ControlAddresses(),
+      .peers_port = std::to_string(peers_port_),
+      .limits = std::string(kNodeLimits) + kLeaseLimits});
 }
 
 void platform_fleet::WriteSettings(const process& target) {
--- a/tests/support/platform_site.cc
+++ b/tests/support/platform_site.cc
@@ -14,6 +14,7 @@
 #include <fstream>
 #include <utility>
 
+#include "support/platform_settings.h"
 #include "support/wait_until.h"
 
 namespace hornbeam {
@@ -222,17 +223,17 @@
 std::unique_ptr<child_process> platform_site::StartNode(
     const std::string& name, const std::string& service,
     const std::string& addresses) const {
-  return StartDaemon(
-      name, fmt::format("[process]\nrole = node\nname = {}\nregion = r\n"
-                        "availability_zone = z\nservice = {}\n"
-                        "platform_terms = graceS={}\n"
-                        "[listen]\npeers = {}\nlocal = {}\n{}"
-                        "[control]\naddresses = {}\npeers_port = {}\n"
-                        "[log]\nfile = -\n"
-                        "[limits]\nreceiving_body_bytes = 33554432\n",
-                        name, service, options_.stop_grace.count(),
-                        ports_->NextAddress(), ports_->NextAddress(), addresses,
-                        ControlAddresses(), PortOf(control_peers_)));
+  return StartDaemon(name, FormatSettings(platform_node_settings{
+                               .name = name,
+                               .zone = "z",
+                               .service = service,
+                               .stop_grace = options_.stop_grace,
+                               .peers = ports_->NextAddress(),
+                               .local = ports_->NextAddress(),
+                               .outer_addresses = addresses,
+                               .control_addresses = ControlAddresses(),
+                               .peers_port = PortOf(control_peers_),
+                               .limits = "receiving_body_bytes = 33554432\n"}));
 }
 
 std::unique_ptr<child_process> platform_site::StartControlVm(
@@ -240,20 +241,18 @@
   const std::string name = fmt::format("control-{}", index + 1);
   const std::filesystem::path data = directory_.Path() / (name + "-data");
   std::filesystem::create_directory(data);
-  return StartDaemon(
-      name,
-      fmt::format("[process]\nrole = control\nname = {}\nregion = r\n"
-                  "availability_zone = z\n"
-                  "[listen]\npeers = {}\nlocal = {}\noperators = {}\n"
-                  "[control]\naddresses = {}\npeers_port = {}\n"
-                  "may_found = {}\ntolerated_losses = {}\n"
-                  "heartbeat_ms = 150\nelection_timeout_ms = 700\n"
-                  "isolation_limit_ms = 900\nstaleness_limit_ms = 2000\n"
-                  "[storage]\ndata_folder = {}\n[log]\nfile = -\n",
-                  name, AddressOf(control_peers_, index),
-                  AddressOf(control_local_, index), Operators(index),
-                  ControlAddresses(), PortOf(control_peers_), may_found ? 1 : 0,
-                  (options_.control_vms - 1) / 2, data.string()));
+  return StartDaemon(name,
+                     FormatSettings(platform_control_settings{
+                         .name = name,
+                         .zone = "z",
+                         .peers = AddressOf(control_peers_, index),
+                         .local = AddressOf(control_local_, index),
+                         .operators = Operators(index),
+                         .control_addresses = ControlAddresses(),
+                         .peers_port = PortOf(control_peers_),
+                         .may_found = may_found,
+                         .tolerated_losses = (options_.control_vms - 1) / 2,
+                         .data_folder = data.string()}));
 }
 
 std::string platform_site::ControlAddresses() const {
