Control client: finds a current control VM in a time that gone ones do not extend

Cause: a node whose registrar was lost or isolated tried one address after the other, each up to 300 ms, and never forgot one. The sum that is checked at start held a single address without an answer. Whoever answered first became registrar, although it was isolated itself or about to stop.

Change: a control VM says in a registrar_offer, after its hello and whenever it changes, whether it is current. registrar_search, which does no I/O, doubles the number of connections every 40 ms, and only a control VM that offers itself becomes registrar. Known are the configured control VMs and those of the registrar's last list. kRegistrarMoveTime is the sum of all waits: 1,040 ms, with the isolation limit 1,940 of 2,000 ms, checked at start as before. A reload replaces the configured control VMs. Protocol version 3.

Evidence: platform_cut_process_test plays cuts with real processes.

--- a/src/base/event_catalogue.cc
+++ b/src/base/event_catalogue.cc
@@ -48,7 +48,8 @@
     {event_id::kUpstreamAnnounced, "upstream_announced", kInfo,
      "The upstream of this node announced itself."},
     {event_id::kLeaseRenewalFailed, "lease_renewal_failed", kWarning,
-     "The node could not renew its lease at the control VMs."},
+     "The node's registrar is lost or no longer current; the node looks for "
+     "another one."},
     {event_id::kMembershipChanged, "membership_changed", kInfo,
      "The known upstreams of a service changed."},
     {event_id::kControlIsolated, "control_isolated", kWarning,
@@ -62,9 +63,14 @@
      "The upstream of this node started, began to drain, left, or its health "
      "check result changed."},
     {event_id::kControlListChanged, "control_list_changed", kInfo,
-     "The list of control VMs that this node may use changed."},
+     "The list of control VMs that this node may use changed. Those that are "
+     "neither configured nor in the list are forgotten; above a limit they are "
+     "rejected."},
     {event_id::kRegistrarConnected, "registrar_connected", kInfo,
-     "The node has a control VM as registrar, which answered its hello."},
+     "The node has a registrar, a control VM that has said that it is current. "
+     "search_ms, tried and failed tell how long the last search took, how many "
+     "control VMs it connected to, and how many of them did not answer or were "
+     "not current."},
     {event_id::kDeparturesLoaded, "departures_loaded", kInfo,
      "The node has read which upstreams it had confirmed as leaving before "
      "its start; until then it uses no upstream."},
--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -32,11 +32,6 @@
 // Lease intervals after the start of a control VM in which it may not have
 // received all leases yet.
 constexpr int kSettleIntervals = 2;
-// Time for which an isolated control VM keeps the connection of a node that has
-// just chosen it. After the loss of a leader all control VMs are isolated for
-// less than a second, and a node that is closed at once would try them all
-// several times.
-constexpr duration kIsolatedNodeTime = std::chrono::milliseconds(300);
 
 // Returns whether this replica counts for a quorum. A replica that lost its
 // disk does not until it has caught up.
@@ -94,10 +89,16 @@
     routing_version_ = known_version;
   }
   [[nodiscard]] bool WatchesRouting() const { return watches_routing_; }
-  // Returns since when the peer is a node that uses this control VM as its
-  // registrar; std::nullopt for other peers.
-  [[nodiscard]] std::optional<time_point> NodeSince() const {
-    return node_since_;
+
+  // Tells a peer that may be a node whether this control VM is current, unless
+  // it knows.
+  void Offer(bool is_current) {
+    if (!is_client_ || offered_ == is_current) return;
+    const bool sent =
+        connection_->TrySend(registrar_offer{.is_current = is_current});
+    // The peer must not go on with an outdated table.
+    if (!sent) connection_->Close();
+    offered_ = is_current;
   }
 
   void PushRouting(const routing_feed& feed) {
@@ -120,13 +121,11 @@
                              .sender = service_.self_.name,
                              .incarnation = service_.self_.incarnation,
                              .purpose = greeting.purpose});
+    is_client_ = greeting.purpose == connection_purpose::kControl;
+    Offer(service_.IsRegistrar());
   }
 
   void Dispatch(frame_connection& connection, message content) {
-    const bool is_of_node = std::holds_alternative<lease_renewal>(content) ||
-                            std::holds_alternative<service_watch>(content) ||
-                            std::holds_alternative<routing_watch>(content);
-    if (is_of_node && !node_since_) node_since_ = service_.clock_.Now();
     if (const auto* renewal = std::get_if<lease_renewal>(&content)) {
       service_.HandleLease(connection, *renewal);
     } else if (const auto* end = std::get_if<lease_end>(&content)) {
@@ -156,7 +155,8 @@
   std::string sender_;
   frame_connection* connection_ = nullptr;
   bool watches_routing_ = false;
-  std::optional<time_point> node_since_;
+  bool is_client_ = false;
+  std::optional<bool> offered_;
   // Version that the watcher has reported or that was last sent to it.
   std::uint64_t routing_version_ = 0;
   std::map<std::string, std::uint64_t> watches_;
@@ -258,7 +258,7 @@
                 {"age_ms", was_current ? (now - current).count() / 1000 : -1},
                 {"version", routing_feed_.Version()}});
   }
-  if (isolated_) DisconnectNodes(now);
+  OfferToClients();
   if (!was_suspended && (isolated_ || !was_isolated)) return;
   leases_.RefreshAll(now);
   started_at_ = now;
@@ -266,13 +266,11 @@
   pushed_settled_ = false;
 }
 
-// Closes the connections of nodes, so that they do not keep outdated tables and
-// settings.
-void control_service::DisconnectNodes(time_point now) {
-  for (session* each : sessions_) {
-    const auto since = each->NodeSince();
-    if (since && now - *since >= kIsolatedNodeTime) each->Close();
-  }
+// Nodes of an isolated control VM look for another registrar, so that they do
+// not keep outdated tables and settings.
+void control_service::OfferToClients() {
+  const bool is_registrar = IsRegistrar();
+  for (session* each : sessions_) each->Offer(is_registrar);
 }
 
 void control_service::BroadcastLeases(time_point now) {
@@ -287,7 +285,7 @@
 
 void control_service::HandleLease(frame_connection& connection,
                                   const lease_renewal& renewal) {
-  // A node without a reply is disconnected soon and renews its lease elsewhere.
+  // A node without a reply is told soon and renews its lease elsewhere.
   if (!IsCurrent(clock_.Now())) return;
   const bool changed =
       leases_.Renew(renewal, lease_source::kNode, duration(0), clock_.Now());
@@ -417,8 +415,10 @@
 void control_service::HandleRoutingWatch(session& watcher,
                                          const routing_watch& watch) {
   watcher.WatchRouting(watch.known_version);
+  // An outdated list would make the node forget current control VMs. The node
+  // watches again once this control VM is a registrar.
+  if (!IsRegistrar()) return;
   watcher.Push(locations_.List());
-  if (!IsCurrent(clock_.Now())) return;
   // A version that is committed here but not in the feed yet follows with the
   // next push round.
   watcher.PushRouting(routing_feed_);
--- a/src/controllers/control_service.h
+++ b/src/controllers/control_service.h
@@ -17,6 +17,7 @@
 #include "wire/frame_listener.h"
 #include "wire/message_link.h"
 #include "wire/messages.h"
+#include "wire/registrar_search.h"
 
 namespace hornbeam {
 
@@ -42,12 +43,12 @@
 
 // Interval at which a control VM checks that it is current and pushes changes.
 inline constexpr duration kPushInterval = std::chrono::milliseconds(50);
-// Time in which a node whose registrar is isolated has the table of another
-// control VM, if one of those that it tries does not answer: the check of the
-// registrar, a push round of the next one, two reconnects, a failed connect.
+// Longest time from when a registrar becomes isolated until its nodes have the
+// table of another control VM: the registrar's check, the delay before a link
+// reconnects, the search, and a push round of the next registrar.
 inline constexpr duration kRegistrarMoveTime =
-    2 * kPushInterval + 2 * message_link_options{}.reconnect_delay +
-    kPeerConnectTimeout;
+    2 * kPushInterval + message_link_options{}.reconnect_delay +
+    kRegistrarSearchTime;
 
 struct control_service_options {
   duration lease_duration = std::chrono::milliseconds(4000);
@@ -91,6 +92,10 @@
   [[nodiscard]] bool IsCurrent(time_point now) const {
     return CurrentAsOf() > now - options_.isolation_limit;
   }
+  // Returns whether nodes may use this control VM as their registrar.
+  [[nodiscard]] bool IsRegistrar() const {
+    return !isolated_ && IsCurrent(clock_.Now());
+  }
   class session;
 
   void HandleLease(frame_connection& connection, const lease_renewal& renewal);
@@ -115,7 +120,7 @@
   void HandleRoutingWatch(session& watcher, const routing_watch& watch);
   void UpdateControlMembers();
   void PushControlList();
-  void DisconnectNodes(time_point now);
+  void OfferToClients();
   void PushChange(const change_record& change);
   void PushMemberships();
   [[nodiscard]] std::uint64_t StoreRevision() const;
--- a/src/controllers/fleet_directory.cc
+++ b/src/controllers/fleet_directory.cc
@@ -128,10 +128,14 @@
 }
 
 void fleet_directory::OnRegistrarUp() {
+  const registrar_search_summary& search = control_->LastSearch();
   log_.Write(event_id::kRegistrarConnected,
              {{"node", self_.node},
               {"registrar", control_->Registrar().ToString()},
-              {"version", Version()}});
+              {"version", Version()},
+              {"search_ms", search.time.count() / 1000},
+              {"tried", search.tried},
+              {"failed", search.failed}});
   SendLease();
   control_->SendToRegistrar(routing_watch{.known_version = Version()});
   WatchServices();
@@ -242,9 +246,13 @@
       same_zone.push_back(*address);
     }
   }
-  if (control_->AddAddresses(addresses)) {
+  const auto change = control_->SetListed(addresses);
+  if (!change.IsEmpty()) {
     log_.Write(event_id::kControlListChanged,
-               {{"known", control_->ControlCount()}});
+               {{"known", control_->ControlCount()},
+                {"added", change.added},
+                {"forgotten", change.forgotten},
+                {"rejected", change.rejected}});
   }
   control_->PreferRegistrars(same_zone);
 }
--- a/src/daemon/routed_node_daemon.cc
+++ b/src/daemon/routed_node_daemon.cc
@@ -249,9 +249,13 @@
            {"faults", FormatConfigErrors(settings_path_, read.error())}});
       return;
     }
-    control_->AddAddresses(read.value().control_addresses);
+    const auto change = control_->SetConfigured(read.value().control_addresses);
     log_.Write(event_id::kProcessReloaded,
-               {{"taken", true}, {"controls", control_->ControlCount()}});
+               {{"taken", true},
+                {"controls", control_->ControlCount()},
+                {"added", change.added},
+                {"forgotten", change.forgotten},
+                {"rejected", change.rejected}});
   }
 
   // Other nodes use other upstreams immediately; callers still arrive until the
--- a/src/wire/connection_messages.h
+++ b/src/wire/connection_messages.h
@@ -15,7 +15,7 @@
   kReplica,  // Between control VMs.
 };
 
-inline constexpr std::uint32_t kProtocolVersion = 2;
+inline constexpr std::uint32_t kProtocolVersion = 3;
 
 // The first message on every connection, in both directions.
 struct hello {
--- a/src/wire/control_channel.h
+++ b/src/wire/control_channel.h
@@ -38,15 +38,24 @@
   // Keeps the connection open for requests even if it is not the registrar's.
   void ServeRequests() { serves_requests_ = true; }
 
-  // Closes the connection until its next use, unless it serves requests.
-  void Suspend() {
-    if (!serves_requests_) link_.Suspend();
-  }
-  // A recently lost registrar is skipped while there is another one.
-  void MarkLost(time_point now) { lost_at_ = now; }
-  [[nodiscard]] bool IsLost(time_point now) const {
-    return lost_at_ && now - *lost_at_ < kLostRegistrarDelay;
+  // Returns whether the registrar_search uses the connection.
+  [[nodiscard]] bool IsOpen() const { return is_open_; }
+  // Opens or closes the connection for the registrar_search.
+  void SetOpen(bool is_open, fiber_group& fibers) {
+    is_open_ = is_open;
+    if (is_open) {
+      EnsureStarted(fibers);
+    } else {
+      Suspend();
+    }
   }
+  // Returns what the control VM last said on the current connection.
+  [[nodiscard]] std::optional<bool> IsCurrent() const { return is_current_; }
+
+  // Ends the connection for good.
+  void Stop() { link_.Stop(); }
+  // Returns whether the channel may be destroyed, but for pending requests.
+  [[nodiscard]] bool HasEnded() const { return !started_ || link_.HasEnded(); }
 
   void SetFibers(fiber_group& fibers) { fibers_ = &fibers; }
   fiber_group& Fibers() { return *fibers_; }
@@ -77,13 +86,16 @@
     return std::move(*received);
   }
 
-  void OnLinkUp() override { owner_.HandleUp(*this); }
+  void OnLinkUp() override {}
 
   void OnLinkMessage(message content) override {
     if (const auto* reply = std::get_if<store_reply>(&content)) {
       Complete(reply->correlation, std::move(content));
     } else if (const auto* status = std::get_if<status_reply>(&content)) {
       Complete(status->correlation, std::move(content));
+    } else if (const auto* offer = std::get_if<registrar_offer>(&content)) {
+      is_current_ = offer->is_current;
+      owner_.HandleOffer(*this, offer->is_current);
     } else {
       owner_.HandlePush(*this, std::move(content));
     }
@@ -93,14 +105,18 @@
     for (const auto& [correlation, reply] : waiting_) {
       reply->Set(store_error::kTimeout);
     }
+    is_current_.reset();
     owner_.HandleDown(*this);
   }
 
  private:
   // Time for which a control VM that did not reply is avoided.
   static constexpr duration kSuspectDuration = std::chrono::seconds(5);
-  // Time before a lost registrar is tried again.
-  static constexpr duration kLostRegistrarDelay = std::chrono::seconds(3);
+
+  // Closes the connection until its next use, unless it serves requests.
+  void Suspend() {
+    if (!serves_requests_) link_.Suspend();
+  }
 
   void Complete(std::uint64_t correlation, message content) {
     const auto found = waiting_.find(correlation);
@@ -111,7 +127,8 @@
   fiber_group* fibers_ = nullptr;
   bool started_ = false;
   bool serves_requests_ = false;
-  std::optional<time_point> lost_at_;
+  bool is_open_ = false;
+  std::optional<bool> is_current_;
   time_point suspect_until_;
   std::unordered_map<std::uint64_t, fiber_signal<result<message, store_error>>*>
       waiting_;
--- a/src/wire/control_client.h
+++ b/src/wire/control_client.h
@@ -1,6 +1,8 @@
 // A process's connections to the control VMs.
 #pragma once
 
+#include <boost/fiber/condition_variable.hpp>
+#include <boost/fiber/mutex.hpp>
 #include <cstdint>
 #include <functional>
 #include <memory>
@@ -16,6 +18,7 @@
 #include "wire/call_link.h"
 #include "wire/endpoint.h"
 #include "wire/messages.h"
+#include "wire/registrar_search.h"
 
 namespace hornbeam {
 
@@ -30,17 +33,19 @@
   control_observer& operator=(const control_observer&) = delete;
   virtual ~control_observer() = default;
 
-  // Called when a registrar is connected. Leases and watches have to be sent
-  // again.
+  // Called when a current control VM has become the registrar. Leases and
+  // watches have to be sent again.
   virtual void OnRegistrarUp() = 0;
   // Called for each message of the registrar that is not a reply to a request.
   virtual void OnRegistrarMessage(message content) = 0;
-  // Called when the connection to the registrar is lost or cannot be opened.
+  // Called when the connection to the registrar is lost or the registrar is no
+  // longer current.
   virtual void OnRegistrarDown() = 0;
 };
 
 // Keeps a connection to one control VM, the registrar, for leases and watches,
-// and moves to another one when it is lost. Finds the leader of each store for
+// and finds another one by a registrar_search when it is lost or no longer
+// current. Finds the leader of each store for
 // commands and queries. Owned by the daemon or the tool. For the I/O thread
 // only.
 class control_client final : public store_client {
@@ -60,23 +65,33 @@
       duration silence_timeout = kDefaultSilenceTimeout);
   ~control_client() override;
 
-  // Adds control VMs that are not known yet and returns whether there were any.
-  // Known ones are kept even if they are not listed, since they may return.
-  bool AddAddresses(std::span<const endpoint> addresses);
+  // Replace the configured control VMs and those of the list that the registrar
+  // sent. All others are forgotten, but for the registrar. An empty list is
+  // ignored.
+  registrar_search::list_change SetConfigured(
+      std::span<const endpoint> addresses);
+  registrar_search::list_change SetListed(std::span<const endpoint> addresses);
 
-  // Sets the control VMs to use as registrar while they are reachable. Their
+  // Sets the control VMs to use as registrar while they are current. Their
   // addresses have to be known.
   void PreferRegistrars(std::span<const endpoint> addresses);
   // If the current registrar is not a preferred one, connects to the first
-  // preferred one that was not lost recently, and moves to it once connected.
+  // preferred one that has not failed recently, and moves to it once it has
+  // said that it is current.
   void SelectPreferredRegistrar();
 
   // Keeps connections open on fibers of `fibers` until Stop.
   void Start(fiber_group& fibers);
   void Stop();
 
-  // Returns the address of the registrar, which need not be connected.
-  [[nodiscard]] const endpoint& Registrar() const;
+  // Returns the address of the registrar, or of the last one during a search.
+  [[nodiscard]] const endpoint& Registrar() const {
+    return search_.LastRegistrar();
+  }
+  // Returns how the search for the registrar went.
+  [[nodiscard]] const registrar_search_summary& LastSearch() const {
+    return search_.LastSearch();
+  }
 
   // Returns whether the control VM at `address` is the registrar and connected.
   [[nodiscard]] bool IsRegistered(const endpoint& address) const;
@@ -109,9 +124,17 @@
   struct attempt;
 
   control_client(io_loop& loop, const clock_source& clock,
-                 process_identity self, std::size_t first_registrar,
-                 control_observer* observer, duration silence_timeout);
-  void AddChannel(const endpoint& address);
+                 process_identity self, std::span<const endpoint> addresses,
+                 std::size_t first_registrar, control_observer* observer,
+                 duration silence_timeout);
+  registrar_search::list_change ApplyList(registrar_search::list_change change);
+  // Opens and closes connections and tells the observer as the search decides.
+  void ApplySearch();
+  bool OpenAndCloseChannels();
+  void TellObserver();
+  void SearchLoop();
+  // Returns the channel to the registrar; null during a search.
+  [[nodiscard]] std::shared_ptr<channel> RegistrarChannel() const;
 
   result<std::string, store_error> Request(store_id store,
                                            store_operation operation,
@@ -119,17 +142,14 @@
                                            time_point deadline);
   result<std::string, store_error> RequestFromRegistrar(
       store_operation operation, std::string_view bytes, time_point deadline);
-  attempt TryOnce(channel& target, const store_request& request,
-                  time_point deadline);
+  attempt TryOnce(const std::shared_ptr<channel>& target,
+                  const store_request& request, time_point deadline);
   void FollowLeader(store_id store, const std::string& address);
   bool SkipSuspects(store_id store);
   void AdvanceLeader(store_id store);
   std::size_t& LeaderOf(store_id store);
-  [[nodiscard]] std::optional<std::size_t> AvailablePreferred() const;
-  [[nodiscard]] std::size_t NextRegistrar() const;
-  void MoveToRegistrar(std::size_t index);
-  void HandleUp(const channel& source);
-  void HandleDown(channel& source);
+  void HandleOffer(const channel& source, bool is_current);
+  void HandleDown(const channel& source);
   void HandlePush(const channel& source, message content);
 
   io_loop& loop_;
@@ -138,14 +158,19 @@
   control_observer* observer_;
   const duration silence_timeout_;
   fiber_group* fibers_ = nullptr;
-  std::vector<std::unique_ptr<channel>> channels_;
-  std::size_t registrar_;
-  std::vector<endpoint> preferred_;  // Registrars, most preferred first.
+  registrar_search search_;
+  std::optional<endpoint> told_registrar_;  // As the observer knows it.
+  std::vector<std::shared_ptr<channel>> channels_;
+  // Channels to forgotten control VMs that fibers still use.
+  std::vector<std::shared_ptr<channel>> retired_;
   // Indexes into channels_ of the assumed store leaders.
   std::size_t settings_leader_;
   std::size_t ledger_leader_;
   std::uint64_t next_correlation_ = 1;
+  std::uint64_t retired_bytes_ = 0;
   bool stopped_ = false;
+  boost::fibers::mutex mutex_;
+  boost::fibers::condition_variable search_changed_;
 };
 
 }  // namespace hornbeam
--- a/src/wire/control_client_requests.cc
+++ b/src/wire/control_client_requests.cc
@@ -53,8 +53,8 @@
   while (clock_.Now() < deadline) {
     request.correlation = next_correlation_++;
     request.may_forward = SkipSuspects(store);
-    channel& leader = *channels_[LeaderOf(store)];
-    leader.ServeRequests();
+    const auto leader = channels_[LeaderOf(store)];
+    leader->ServeRequests();
     attempt reply = TryOnce(leader, request, deadline);
     if (reply.status == store_status::kDone) return std::move(reply.bytes);
     if (reply.status == store_status::kRejected) return store_error::kRejected;
@@ -84,8 +84,8 @@
                         .bytes = std::string(bytes)};
   store_error last = store_error::kUnreachable;
   while (!stopped_ && clock_.Now() < deadline) {
-    channel& registrar = *channels_[registrar_];
-    if (registrar.Link().IsUp()) {
+    const auto registrar = RegistrarChannel();
+    if (registrar && registrar->Link().IsUp()) {
       request.correlation = next_correlation_++;
       attempt reply = TryOnce(registrar, request, deadline);
       if (reply.status == store_status::kDone) return std::move(reply.bytes);
@@ -102,15 +102,15 @@
   return last;
 }
 
-control_client::attempt control_client::TryOnce(channel& target,
-                                                const store_request& request,
-                                                time_point deadline) {
+control_client::attempt control_client::TryOnce(
+    const std::shared_ptr<channel>& target, const store_request& request,
+    time_point deadline) {
   store_request sent = request;
   const time_point now = clock_.Now();
   const time_point limit = std::min(deadline, now + kAttemptTimeout);
   sent.deadline_us = ToMicroseconds(limit - now);
-  auto reply = target.Exchange(request.correlation, sent, limit);
-  target.RecordReply(reply.has_value(), clock_.Now());
+  auto reply = target->Exchange(request.correlation, sent, limit);
+  target->RecordReply(reply.has_value(), clock_.Now());
   if (!reply) {
     return attempt{.status = store_status::kTimeout,
                    .sent = reply.error() != store_error::kUnreachable};
@@ -125,9 +125,9 @@
 result<status_reply, store_error> control_client::Status(std::size_t index,
                                                          time_point deadline) {
   const status_request request{.correlation = next_correlation_++};
-  channel& asked = *channels_.at(index);
-  asked.ServeRequests();
-  auto reply = asked.Exchange(request.correlation, request, deadline);
+  const auto asked = channels_.at(index);
+  asked->ServeRequests();
+  auto reply = asked->Exchange(request.correlation, request, deadline);
   if (!reply) return reply.error();
   return std::get<status_reply>(std::move(reply).value());
 }
--- a/src/wire/control_messages.h
+++ b/src/wire/control_messages.h
@@ -115,6 +115,18 @@
   }
 };
 
+// Says whether the sender is current and may be a registrar: it can prove that
+// its stores lack nothing that was acknowledged. Sent by a control VM after its
+// hello and whenever that changes.
+struct registrar_offer {
+  bool is_current = false;
+
+  template <class Archive>
+  void serialize(Archive& archive) {
+    archive(is_current);
+  }
+};
+
 // Subscribes the connection to the upstreams and settings of one service.
 struct service_watch {
   std::string service;
--- a/src/wire/message_link.cc
+++ b/src/wire/message_link.cc
@@ -58,7 +58,11 @@
 
 void message_link::Start(fiber_group& fibers) {
   fibers_ = &fibers;
-  fibers.Start([this] { Run(); });
+  running_ = true;
+  fibers.Start([this] {
+    Run();
+    running_ = false;
+  });
 }
 
 void message_link::Stop() {
@@ -100,6 +104,10 @@
   return closed_connections_bytes_ + current_bytes;
 }
 
+bool message_link::HasEnded() const {
+  return stopped_ && !running_ && reader_.expired();
+}
+
 void message_link::Run() {
   while (!stopped_) {
     if (suspended_) {
@@ -134,7 +142,9 @@
                              .incarnation = self_.incarnation,
                              .purpose = purpose_,
                              .connection_number = connection_number_});
-  connection_->Start(std::make_shared<reader>(*this), *fibers_);
+  const auto handler = std::make_shared<reader>(*this);
+  reader_ = handler;
+  connection_->Start(handler, *fibers_);
   return WaitForHello();
 }
 
--- a/src/wire/message_link.h
+++ b/src/wire/message_link.h
@@ -68,6 +68,9 @@
   bool WaitUp(time_point deadline);
 
   [[nodiscard]] bool IsUp() const;
+  // Returns whether the link has stopped and no fiber refers to it any more, so
+  // that it may be destroyed.
+  [[nodiscard]] bool HasEnded() const;
   [[nodiscard]] const endpoint& Peer() const { return peer_; }
   // Returns the bytes sent and received over all connections so far.
   [[nodiscard]] std::uint64_t TotalBytes() const;
@@ -91,12 +94,14 @@
   link_observer& observer_;
   fiber_group* fibers_ = nullptr;
   std::shared_ptr<frame_connection> connection_;
-  bool received_hello_ = false;  // On the current connection.
+  std::weak_ptr<reader> reader_;  // Of the last connection.
+  bool received_hello_ = false;   // On the current connection.
   std::uint64_t connection_number_ = 0;
   std::uint64_t failed_attempts_ = 0;
   std::uint64_t closed_connections_bytes_ = 0;
   bool stopped_ = false;
   bool suspended_ = false;
+  bool running_ = false;
   boost::fibers::mutex mutex_;
   boost::fibers::condition_variable changed_;
 };
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -1,13 +1,11 @@
 // A node's choice among control VMs of which some do not answer.
 #include "wire/control_client.h"
 
-#include <sys/socket.h>
-
 #include <algorithm>
 #include <array>
 #include <boost/asio/ip/tcp.hpp>
 #include <boost/test/unit_test.hpp>
-#include <cerrno>
+#include <span>
 #include <string>
 #include <thread>
 #include <vector>
@@ -16,6 +14,7 @@
 #include "controllers/control_service.h"
 #include "io/fiber_group.h"
 #include "io/io_loop.h"
+#include "support/gone_vm.h"
 #include "wire/frame_codec.h"
 #include "wire/frame_listener.h"
 
@@ -40,7 +39,8 @@
   boost::asio::ip::tcp::acceptor acceptor_;
 };
 
-// A control VM that answers hello and counts the leases that it receives.
+// A control VM that answers hello, is current and counts the leases that it
+// receives.
 class answering_vm final : public frame_handler_factory {
  public:
   std::shared_ptr<frame_handler> MakeFrameHandler() override {
@@ -56,6 +56,7 @@
     void OnMessage(frame_connection& connection, message content) override {
       if (std::holds_alternative<hello>(content)) {
         connection.TrySend(hello{.protocol_version = kProtocolVersion});
+        connection.TrySend(registrar_offer{.is_current = true});
       }
       if (std::holds_alternative<lease_renewal>(content)) ++vm_.leases;
     }
@@ -66,11 +67,31 @@
   };
 };
 
-// A control VM that is cut off from the others: it accepts a node and closes
-// the connection some time after the node's lease, again and again.
+// A control VM that is cut off from the others: it accepts nodes and says that
+// it is not current.
 class isolated_vm final : public frame_handler_factory {
  public:
-  explicit isolated_vm(fiber_group& fibers) : fibers_(fibers) {}
+  std::shared_ptr<frame_handler> MakeFrameHandler() override {
+    return std::make_shared<handler>();
+  }
+
+ private:
+  class handler final : public frame_handler {
+   public:
+    void OnMessage(frame_connection& connection, message content) override {
+      if (!std::holds_alternative<hello>(content)) return;
+      connection.TrySend(hello{.protocol_version = kProtocolVersion});
+      connection.TrySend(registrar_offer{.is_current = false});
+    }
+    void OnClosed(frame_connection& /*connection*/) override {}
+  };
+};
+
+// A control VM that says that it is current and ends the connection some time
+// after the node's lease, again and again.
+class leaving_vm final : public frame_handler_factory {
+ public:
+  explicit leaving_vm(fiber_group& fibers) : fibers_(fibers) {}
   std::shared_ptr<frame_handler> MakeFrameHandler() override {
     return std::make_shared<handler>(fibers_);
   }
@@ -82,18 +103,18 @@
     void OnMessage(frame_connection& connection, message content) override {
       if (std::holds_alternative<hello>(content)) {
         connection.TrySend(hello{.protocol_version = kProtocolVersion});
+        connection.TrySend(registrar_offer{.is_current = true});
       }
       if (!std::holds_alternative<lease_renewal>(content)) return;
       fibers_.Start([weak = connection.weak_from_this()] {
-        io_loop::SleepFor(kIsolatedTime);
+        io_loop::SleepFor(kStayTime);
         if (const auto open = weak.lock()) open->Close();
       });
     }
     void OnClosed(frame_connection& /*connection*/) override {}
 
    private:
-    // The time that an isolated control VM leaves a node, and a check.
-    static constexpr duration kIsolatedTime = std::chrono::milliseconds(350);
+    static constexpr duration kStayTime = std::chrono::milliseconds(100);
     fiber_group& fibers_;
   };
   fiber_group& fibers_;
@@ -116,39 +137,6 @@
   };
 };
 
-// An address at which nothing answers: the queue of connections that wait to be
-// accepted is full, so that the kernel drops further ones.
-class unreachable_vm {
- public:
-  explicit unreachable_vm(io_loop& loop)
-      : acceptor_(loop.context()),
-        first_(loop.context()),
-        second_(loop.context()) {
-    const boost::asio::ip::tcp::endpoint any(
-        boost::asio::ip::address_v4::loopback(), 0);
-    acceptor_.open(any.protocol());
-    acceptor_.bind(any);
-    acceptor_.listen(0);
-    const auto address = acceptor_.local_endpoint();
-    for (auto* each : {&first_, &second_}) {
-      each->open(any.protocol());
-      each->non_blocking(true);
-      // Asio's own connect would wait.
-      const int code = ::connect(each->native_handle(), address.data(),
-                                 static_cast<socklen_t>(address.size()));
-      BOOST_REQUIRE((code == 0 || errno == EINPROGRESS));
-    }
-  }
-  [[nodiscard]] endpoint Address() const {
-    return {"127.0.0.1", acceptor_.local_endpoint().port()};
-  }
-
- private:
-  boost::asio::ip::tcp::acceptor acceptor_;
-  boost::asio::ip::tcp::socket first_;
-  boost::asio::ip::tcp::socket second_;
-};
-
 // What stands at an address of the list.
 enum class address_kind : std::uint8_t {
   kCurrent,
@@ -156,7 +144,8 @@
   kUnreachable,
   kRefusing,
   kSilent,
-  kClosing
+  kClosing,
+  kLeaving
 };
 
 // Renews a lease with each new registrar.
@@ -217,15 +206,17 @@
   constexpr std::size_t kAddresses = 4;
   constexpr std::array kOthers = {
       address_kind::kIsolated, address_kind::kUnreachable,
-      address_kind::kRefusing, address_kind::kSilent, address_kind::kClosing};
+      address_kind::kRefusing, address_kind::kSilent,
+      address_kind::kClosing,  address_kind::kLeaving};
   std::thread([&] {
     io_loop loop;
     const system_clock_source clock;
     fiber_group fibers;
     answering_vm current;
-    isolated_vm isolated(fibers);
+    isolated_vm isolated;
     closing_vm closing;
-    const unreachable_vm unreachable(loop);
+    leaving_vm leaving(fibers);
+    const gone_vm unreachable(gone_vm::kind::kUnreachable, "127.0.0.1", 0);
     const suspended_vm silent(loop);
     const auto listen = [&](frame_handler_factory& vm) {
       auto listener =
@@ -236,6 +227,7 @@
     const auto current_listener = listen(current);
     const auto isolated_listener = listen(isolated);
     const auto closing_listener = listen(closing);
+    const auto leaving_listener = listen(leaving);
     // Others with the same behaviour at their own addresses.
     const auto second_isolated = listen(isolated);
     const auto address_of = [&](address_kind kind, std::size_t at) -> endpoint {
@@ -246,13 +238,15 @@
           return at % 2 == 0 ? isolated_listener->Address()
                              : second_isolated->Address();
         case address_kind::kUnreachable:
-          return unreachable.Address();
+          return {"127.0.0.1", unreachable.Port()};
         case address_kind::kRefusing:
           return {"127.0.0.1", 1};
         case address_kind::kSilent:
           return silent.Address();
         case address_kind::kClosing:
           return closing_listener->Address();
+        case address_kind::kLeaving:
+          return leaving_listener->Address();
       }
       return {};
     };
@@ -269,10 +263,8 @@
       fiber_group own;
       const time_point started = clock.Now();
       client->Start(own);
-      // Each of the others may take a connect and a hello, or keep the node for
-      // a while.
-      const duration limit =
-          (kAddresses - 1) * (2 * kPeerConnectTimeout + kRegistrarMoveTime);
+      // One that leaves later begins a further search.
+      const duration limit = 2 * kRegistrarMoveTime;
       while (!client->IsRegistered(wanted) && clock.Now() - started < limit)
         io_loop::SleepFor(kPollInterval);
       slowest = std::max(slowest, clock.Now() - started);
@@ -299,13 +291,54 @@
     cases.WaitEmpty(clock.Now() + 3 * kWaitLimit);
     BOOST_TEST_MESSAGE("slowest ms: " << slowest.count() / 1000);
     BOOST_TEST(reached == tried);
-    for (const auto* each : {&current_listener, &isolated_listener,
-                             &closing_listener, &second_isolated})
+    for (const auto* each :
+         {&current_listener, &isolated_listener, &closing_listener,
+          &second_isolated, &leaving_listener})
       (*each)->Stop();
     fibers.WaitEmpty(clock.Now() + kWaitLimit);
   }).join();
 }
 
+// Guards against control VMs that are remembered after they were replaced, and
+// against connections to them that are left behind.
+BOOST_AUTO_TEST_CASE(replaced_control_vms_are_forgotten) {
+  std::thread([] {
+    io_loop loop;
+    const system_clock_source clock;
+    fiber_group fibers;
+    answering_vm answering;
+    const auto listener =
+        frame_listener::MakeFrameListener(loop, {"127.0.0.1", 0}, clock);
+    BOOST_REQUIRE(listener);
+    listener->Start(answering, fibers);
+    lease_sender sender;
+    const std::array addresses = {listener->Address()};
+    const auto client = control_client::MakeControlClient(
+        loop, clock, {"node-1", 1}, addresses, 0, &sender);
+    sender.client = client.get();
+    client->Start(fibers);
+    const time_point started = clock.Now();
+    while (answering.leases == 0 && clock.Now() - started < kWaitLimit)
+      io_loop::SleepFor(kPollInterval);
+    constexpr std::uint16_t kExchanges = 200;
+    for (std::uint16_t i = 0; i < kExchanges; ++i) {
+      const std::array list = {
+          endpoint{"127.0.0.2", static_cast<std::uint16_t>(i + 1)},
+          endpoint{"127.0.0.2", static_cast<std::uint16_t>(i + 2)}};
+      const auto change = client->SetListed(list);
+      BOOST_REQUIRE(change.rejected == 0U);
+      // Connects to the newest one, which refuses.
+      client->PreferRegistrars(std::span(list).last(1));
+      if (i % 10 == 0) io_loop::SleepFor(kPollInterval);
+      BOOST_REQUIRE(client->ControlCount() <= 3U);
+    }
+    BOOST_TEST(client->IsRegistered(listener->Address()));
+    client->Stop();
+    listener->Stop();
+    fibers.WaitEmpty(clock.Now() + kWaitLimit);
+  }).join();
+}
+
 // Guards against a request above the limit of one message, which ended the
 // process that sent it.
 BOOST_AUTO_TEST_CASE(request_too_large_for_a_message_is_rejected) {
--- a/tests/support/child_process.cc
+++ b/tests/support/child_process.cc
@@ -6,7 +6,9 @@
 #include <sys/wait.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <fstream>
+#include <iterator>
 #include <sstream>
 #include <utility>
 
@@ -24,7 +26,7 @@
 // Runs in the child between fork and exec, where only async-signal-safe calls
 // are allowed.
 [[noreturn]] void ExecChild(const child_spec& spec, char* const* arguments,
-                            pid_t parent) {
+                            char* const* environment, pid_t parent) {
   if (!spec.outlives_parent) {
     ::prctl(PR_SET_PDEATHSIG, SIGKILL);
     if (::getppid() != parent) ::_exit(kExecFailedExitCode);
@@ -37,7 +39,7 @@
   ::dup2(input, STDIN_FILENO);
   ::dup2(output, STDOUT_FILENO);
   ::dup2(error, STDERR_FILENO);
-  ::execv(spec.program.c_str(), arguments);
+  ::execve(spec.program.c_str(), arguments, environment);
   ::_exit(kExecFailedExitCode);
 }
 
@@ -58,10 +60,16 @@
     arguments.push_back(argument.data());
   }
   arguments.push_back(nullptr);
+  std::vector<char*> environment;
+  std::ranges::transform(spec.environment, std::back_inserter(environment),
+                         [](std::string& variable) { return variable.data(); });
+  for (char** inherited = ::environ; *inherited != nullptr; ++inherited)
+    environment.push_back(*inherited);
+  environment.push_back(nullptr);
   const pid_t parent = ::getpid();
   const pid_t pid = ::fork();
   if (pid < 0) return nullptr;
-  if (pid == 0) ExecChild(spec, arguments.data(), parent);
+  if (pid == 0) ExecChild(spec, arguments.data(), environment.data(), parent);
   return std::unique_ptr<child_process>(
       new child_process(std::move(spec), pid));
 }
--- a/tests/support/child_process.h
+++ b/tests/support/child_process.h
@@ -18,6 +18,8 @@
   std::vector<std::string> arguments;
   std::string output_path;  // Standard output.
   std::string error_path;   // Standard error.
+  // Added to the test's own environment, as "NAME=value".
+  std::vector<std::string> environment;
   // If false, the kernel kills the process when the thread that started it
   // exits.
   bool outlives_parent = false;
--- a/tests/support/platform_fleet.cc
+++ b/tests/support/platform_fleet.cc
@@ -5,6 +5,7 @@
 #include <csignal>
 #include <filesystem>
 #include <fstream>
+#include <iterator>
 #include <utility>
 
 #include "support/platform_settings.h"
@@ -14,14 +15,13 @@
 
 namespace {
 
-constexpr std::size_t kHostsPerNetwork = 200;
-
-std::string Host(int network, std::size_t index) {
+std::string Host(std::uint32_t network, std::size_t index) {
   return fmt::format("127.{}.{}.{}", network, index / kHostsPerNetwork,
                      1 + index % kHostsPerNetwork);
 }
 
-std::string Address(int network, std::size_t index, std::uint16_t port) {
+std::string Address(std::uint32_t network, std::size_t index,
+                    std::uint16_t port) {
   return fmt::format("{}:{}", Host(network, index), port);
 }
 
@@ -39,8 +39,8 @@
   return false;
 }
 
-constexpr int kControlNetwork = 1;
-constexpr int kNodeNetwork = 2;
+constexpr std::uint32_t kNodeNetwork = 2;
+constexpr std::uint32_t kGoneNetwork = 3;
 constexpr std::size_t kSeeds = 3;
 constexpr std::size_t kZones = 3;
 constexpr const char* kLeaseLimits =
@@ -64,6 +64,7 @@
       local_port_(ports_->NextPort()),
       announcements_port_(ports_->NextPort()),
       upstream_port_(ports_->NextPort()),
+      cuts_(directory_.Path() / "cuts", peers_port_),
       launcher_([this] { LaunchLoop(); }) {
   for (std::size_t i = 0; i < options_.control_vms; ++i)
     controls_.push_back(MakeProcess({role::kControl, i}, true));
@@ -95,6 +96,15 @@
 std::string platform_fleet::Upstream(std::size_t node) const {
   return Address(kNodeNetwork, node, upstream_port_);
 }
+std::string platform_fleet::GoneHost(std::size_t gone) const {
+  return Host(kGoneNetwork, gone);
+}
+
+std::string platform_fleet::Log(member which) {
+  std::ifstream file(PathOf(At(which), ".out"));
+  return {std::istreambuf_iterator<char>(file), {}};
+}
+
 std::string platform_fleet::Service(std::size_t node) const {
   return fmt::format("s{}", node % options_.services);
 }
@@ -136,13 +146,16 @@
       .control_addresses = ControlAddresses(),
       .peers_port = std::to_string(peers_port_),
       .may_found = target.may_found,
-      .tolerated_losses = 1,
+      .tolerated_losses = options_.tolerated_losses,
       .data_folder = data,
       .limits = kLeaseLimits});
 }
 
 std::string platform_fleet::NodeSettings(const process& target) {
   const std::size_t index = target.self.index;
+  std::string addresses;
+  for (std::size_t i = 0; i < options_.gone_control_vms; ++i)
+    addresses += Address(kGoneNetwork, i, outer_port_) + ",";
   return FormatSettings(platform_node_settings{
       .name = target.name,
       .zone = Zone(index),
@@ -153,7 +166,7 @@
       .outer_addresses =
           fmt::format("callers = {}\nannouncements = {}\nupstream = {}\n",
                       Callers(index), Announcements(index), Upstream(index)),
-      .control_addresses = ControlAddresses(),
+      .control_addresses = addresses + ControlAddresses(),
       .peers_port = std::to_string(peers_port_),
       .limits = std::string(kNodeLimits) + kLeaseLimits});
 }
@@ -197,7 +210,11 @@
         {.program = (programs / "hornbeamd-platform").string(),
          .arguments = {"--config", PathOf(target, ".ini")},
          .output_path = PathOf(target, ".out"),
-         .error_path = PathOf(target, ".log")});
+         .error_path = PathOf(target, ".log"),
+         .environment =
+             cuts_.Environment(target.self.kind == role::kControl
+                                   ? static_cast<int>(target.self.index)
+                                   : kCutNode)});
     // A signal between exec and main ends any process.
     if (target.child) WaitUntil([&] { return HandlesHangUp(*target.child); });
   });
--- a/tests/support/platform_fleet.h
+++ b/tests/support/platform_fleet.h
@@ -16,6 +16,7 @@
 #include <vector>
 
 #include "support/child_process.h"
+#include "support/link_cuts.h"
 #include "support/port_block.h"
 #include "support/temporary_directory.h"
 
@@ -26,6 +27,10 @@
   std::size_t nodes = 6;
   std::size_t services = 3;
   std::chrono::seconds stop_grace{6};
+  std::size_t tolerated_losses = 1;
+  // Addresses of control VMs that are gone, which nodes are told before those
+  // of the running ones.
+  std::size_t gone_control_vms = 0;
 };
 
 // The settings are those of deploy/*.ini. Thread-safe: two calls for one
@@ -65,6 +70,14 @@
   // name; each only once.
   std::vector<std::string> TakeUnexpectedEnds();
 
+  // Cuts links of the control VMs.
+  [[nodiscard]] link_cuts& Cuts() { return cuts_; }
+  // Returns where other control VMs and nodes would reach a gone one.
+  [[nodiscard]] std::string GoneHost(std::size_t gone) const;
+  [[nodiscard]] std::uint16_t PeersPort() const { return peers_port_; }
+  // Returns the log of a process so far.
+  [[nodiscard]] std::string Log(member which);
+
   [[nodiscard]] std::size_t Nodes() const { return options_.nodes; }
   [[nodiscard]] std::vector<std::size_t> RunningControlVms();
   [[nodiscard]] std::string Operators(std::size_t control) const;
@@ -107,6 +120,7 @@
   const std::uint16_t local_port_;
   const std::uint16_t announcements_port_;
   const std::uint16_t upstream_port_;
+  link_cuts cuts_;
   std::mutex members_mutex_;
   std::vector<std::unique_ptr<process>> controls_;
   std::vector<std::unique_ptr<process>> nodes_;
