Control VMs: links to control VMs that have left are ended

What users would see: after 64 exchanges during the life of a control VM it does not connect to the newest ones, and the group bears fewer losses than promised.

Cause: replica_mesh added a link for each new member and ended none, up to a limit. Change: SetPeers keeps the members' and the configured links only.

--- a/src/controllers/control_service.cc
+++ b/src/controllers/control_service.cc
@@ -450,7 +450,7 @@
   std::ranges::transform(stores_.routing->Status().replicas,
                          std::back_inserter(names), &replica_peer_status::name);
   if (!locations_.SetMembers(std::move(names))) return;
-  mesh_.EnsurePeers(locations_.Members());
+  mesh_.SetPeers(locations_.Members());
   PushControlList();
 }
 
--- a/src/controllers/replica_mesh.cc
+++ b/src/controllers/replica_mesh.cc
@@ -15,8 +15,7 @@
 
 namespace {
 
-// Limit on links, well above the number of control VMs of a deployment
-// including those replaced while this process runs.
+// Limit on links, well above the number of control VMs of a deployment.
 constexpr std::size_t kMaxLinks = 64;
 // What a message adds to the command or table that it carries.
 constexpr std::size_t kMaxEnvelopeBytes = 64UL * 1024;
@@ -64,6 +63,7 @@
       sender_{own_address.ToString(), self.incarnation},
       observer_(std::make_unique<reply_observer>()) {
   for (const endpoint& address : control_addresses) {
+    configured_.push_back(address.ToString());
     if (address != own_address) AddLink(address.ToString());
   }
 }
@@ -94,11 +94,25 @@
 
 std::uint64_t replica_mesh::TotalBytes() const {
   return std::transform_reduce(
-      links_.begin(), links_.end(), std::uint64_t{0}, std::plus<>(),
+      links_.begin(), links_.end(), retired_bytes_, std::plus<>(),
       [](const auto& link) { return link->TotalBytes(); });
 }
 
-void replica_mesh::EnsurePeers(std::span<const std::string> peers) {
+void replica_mesh::SetPeers(std::span<const std::string> peers) {
+  for (auto& link : links_) {
+    const std::string peer = link->Peer().ToString();
+    const bool is_kept =
+        std::ranges::find(peers, peer) != peers.end() ||
+        std::ranges::find(configured_, peer) != configured_.end();
+    if (!is_kept) retired_.push_back(std::move(link));
+  }
+  std::erase(links_, nullptr);
+  for (const auto& link : retired_) link->Stop();
+  std::erase_if(retired_, [this](const auto& link) {
+    if (!link->HasEnded()) return false;
+    retired_bytes_ += link->TotalBytes();
+    return true;
+  });
   for (const std::string& peer : peers) {
     if (FindLink(peer) == nullptr) AddLink(peer);
   }
--- a/src/controllers/replica_mesh.h
+++ b/src/controllers/replica_mesh.h
@@ -34,8 +34,9 @@
   void Start(fiber_group& fibers);
   void Stop();
 
-  // Opens a link to each of `peers` that has none yet.
-  void EnsurePeers(std::span<const std::string> peers);
+  // Sets the current control VMs: opens a link to each that has none yet and
+  // ends those to all others but the configured ones.
+  void SetPeers(std::span<const std::string> peers);
 
   // Sends to every other control VM that is connected.
   void Broadcast(const message& content);
@@ -52,6 +53,8 @@
   std::unique_ptr<replica_transport> MakeTransport(store_id store);
 
   [[nodiscard]] std::size_t ConnectedPeers() const;
+  // Returns the number of control VMs to which links are kept open.
+  [[nodiscard]] std::size_t KnownPeers() const { return links_.size(); }
   // Returns the bytes sent and received over the links so far.
   [[nodiscard]] std::uint64_t TotalBytes() const;
 
@@ -67,7 +70,11 @@
   const process_identity sender_;  // Named by its address, as all replicas.
   fiber_group* fibers_ = nullptr;
   std::unique_ptr<reply_observer> observer_;
+  std::vector<std::string> configured_;
   std::vector<std::unique_ptr<message_link>> links_;
+  // Stopped links that fibers still use.
+  std::vector<std::unique_ptr<message_link>> retired_;
+  std::uint64_t retired_bytes_ = 0;
 };
 
 }  // namespace hornbeam
