Soak: cut links, longer freezes, gone control VMs, and versions checked at nodes

It now cuts the links of a control VM, or those between it and nodes, one way or both, silent or reset, for 1 to 7 s, also right after an exchange; freezes control VMs for up to 6 s; has four gone control VMs of three kinds among the configured addresses; and probes each node for the newest version.

--- a/tests/platform_soak_process_test.cc
+++ b/tests/platform_soak_process_test.cc
@@ -1,7 +1,7 @@
 // Soak of the platform's daemon: restarts, kills, suspensions, exchanges, lost
-// disks, leaves, late reports, spoiled answers and changes, in series and at
-// the same time. HORNBEAM_SOAK_SEEDS ("FIRST-LAST") and HORNBEAM_SOAK_NODES
-// select longer runs.
+// disks, cut links, leaves, late reports, spoiled answers and changes, in
+// series and at the same time. HORNBEAM_SOAK_SEEDS ("FIRST-LAST") and
+// HORNBEAM_SOAK_NODES select longer runs.
 #include <boost/test/unit_test.hpp>
 #include <cstdlib>
 #include <string>
@@ -14,11 +14,13 @@
 
 void CheckSoak(const soak_options& options) {
   const soak_result result = RunSoak(options);
-  BOOST_TEST_MESSAGE("seed " << options.seed << ": " << result.runs << " runs, "
-                             << result.answered << " answered, "
-                             << result.restarts << " restarts, "
-                             << result.exchanges << " exchanges, "
-                             << result.changes << " changes");
+  BOOST_TEST_MESSAGE("seed "
+                     << options.seed << ": " << result.runs << " runs, "
+                     << result.answered << " answered, " << result.restarts
+                     << " restarts, " << result.exchanges << " exchanges, "
+                     << result.cuts << " cuts, " << result.checked_probes
+                     << " probes, latest " << result.latest_version.count()
+                     << " ms, " << result.changes << " changes");
   for (const std::string& each : result.failures)
     BOOST_ERROR("seed " << options.seed << ": " << each);
   BOOST_TEST(result.answered > 0U);
--- a/tests/support/platform_soak_run.cc
+++ b/tests/support/platform_soak_run.cc
@@ -9,8 +9,11 @@
 #include <memory>
 #include <thread>
 
+#include "support/gone_vm.h"
 #include "support/platform_fleet.h"
 #include "support/platform_soak_upstream.h"
+#include "support/version_probe.h"
+#include "support/version_watch.h"
 #include "support/wait_until.h"
 
 namespace hornbeam {
@@ -29,13 +32,23 @@
 // Statuses that promise that the request has not run and never will.
 constexpr std::array kNotRunStatuses = {408, 421, 429, 503};
 constexpr std::array kChangeRefusals = {400, 409, 412, 413, 422};
+// What stands at the addresses of control VMs that are gone.
+constexpr std::array kGoneKinds = {
+    gone_vm::kind::kUnreachable, gone_vm::kind::kSilent,
+    gone_vm::kind::kClosing, gone_vm::kind::kUnreachable};
 
 class soak {
  public:
   explicit soak(const soak_options& options)
       : options_(options),
         random_(options.seed),
-        fleet_({.nodes = options.nodes}) {}
+        fleet_(
+            {.nodes = options.nodes, .gone_control_vms = kGoneKinds.size()}) {
+    for (std::size_t i = 0; i < kGoneKinds.size(); ++i) {
+      gone_.push_back(std::make_unique<gone_vm>(
+          kGoneKinds[i], fleet_.GoneHost(i), fleet_.PeersPort()));
+    }
+  }
 
   soak_result Run() {
     fleet_.Start();
@@ -47,15 +60,21 @@
     }
     if (!ChangeTable(kRecovery) || !AllServicesAnswer())
       record_.Fail("the fleet did not start");
+    watch_.DisturbControl();
+    watch_.Start();
     RunThreads();
     if (!IsTableReadBack()) record_.Fail("an acknowledged change is lost");
     if (!AllServicesAnswer()) record_.Fail("a service does not come back");
     CheckRejections();
+    for (const std::string& each : watch_.Failures()) record_.Fail(each);
     result_.failures = record_.Failures();
+    result_.checked_probes = watch_.ProbesInTouch();
+    result_.latest_version = watch_.Latest();
     result_.runs = record_.TotalRuns();
     result_.answered = answered_;
     result_.exchanges = exchanges_;
     result_.restarts = restarts_;
+    result_.cuts = cuts_;
     return result_;
   }
 
@@ -163,6 +182,7 @@
     seeded_random_source random(seed);
     while (!stopped_) {
       const member node{role::kNode, random.NextBelow(fleet_.Nodes())};
+      watch_.DisturbNode(node.index);
       switch (random.NextBelow(5)) {
         case 0:
         case 1:
@@ -179,6 +199,7 @@
         default:
           fleet_.Reload(node);
       }
+      watch_.DisturbNode(node.index);
       std::this_thread::sleep_for(Between(random, 50, 800));
     }
   }
@@ -191,7 +212,8 @@
       const auto running = fleet_.RunningControlVms();
       const std::size_t chosen = running[random.NextBelow(running.size())];
       const member control{role::kControl, chosen};
-      switch (random.NextBelow(4)) {
+      watch_.DisturbControl();
+      switch (random.NextBelow(6)) {
         case 0:
           fleet_.Restart(control, SIGTERM, Between(random, 0, 500));
           ++restarts_;
@@ -201,26 +223,52 @@
           ++restarts_;
           break;
         case 2:
-          fleet_.Suspend(control, Between(random, 100, 2500));
+          fleet_.Suspend(control, Between(random, 100, 6000));
+          break;
+        case 3:
+        case 4:
+          CutOff(chosen, random);
           break;
         default:
           ExchangeControl(random);
       }
+      watch_.DisturbControl();
       std::this_thread::sleep_for(kCatchUp);
     }
   }
 
-  // A planned exchange, and a lost disk right after it.
+  // Cuts the links of a control VM to others, to nodes or to both, in one
+  // direction or both.
+  void CutOff(std::size_t control, seeded_random_source& random) {
+    constexpr std::uint64_t kKinds = 16;
+    const auto bits = static_cast<unsigned>(1 + random.NextBelow(kKinds - 1));
+    fleet_.Cuts().Cut(control, bits);
+    ++cuts_;
+    std::this_thread::sleep_for(Between(random, 1000, 7000));
+    fleet_.Cuts().Heal(control);
+  }
+
+  // A planned exchange, and a lost disk or a cut right after it.
   void ExchangeControl(seeded_random_source& random) {
     const auto old = fleet_.RunningControlVms();
     fleet_.AddControlVm();
+    watch_.DisturbControl();
     std::this_thread::sleep_for(kCatchUp);
     const std::size_t leaving = random.NextBelow(old.size());
+    watch_.DisturbControl();
     fleet_.Remove({role::kControl, old[leaving]}, SIGTERM);
+    watch_.DisturbControl();
     ++exchanges_;
-    if (random.NextBelow(2) == 0) return;
+    const std::uint64_t next_fault = random.NextBelow(3);
+    if (next_fault == 0) return;
     std::this_thread::sleep_for(Between(random, 0, 300));
-    fleet_.LoseDisk(old[(leaving + 1) % old.size()], Between(random, 0, 1500));
+    const std::size_t next = old[(leaving + 1) % old.size()];
+    watch_.DisturbControl();
+    if (next_fault == 1) {
+      CutOff(next, random);
+    } else {
+      fleet_.LoseDisk(next, Between(random, 0, 1500));
+    }
   }
 
   void Upstreams(std::uint64_t seed) {
@@ -246,30 +294,10 @@
 
   // ---- The routing table ----
 
-  [[nodiscard]] std::string MakeTable(int version, int base) const {
-    std::string routes;
-    std::string services;
-    for (std::size_t i = 0; i < kServices; ++i) {
-      const char* const comma = i == 0 ? "" : ",";
-      routes +=
-          fmt::format(R"({}"r{}":{{"host":"s{}.example","pathPrefix":"/job/",)"
-                      R"("kind":"unsafe","service":"s{}","maxAttempts":2,)"
-                      R"("timeoutS":1.5,"aimS":0.5,"priority":0}})",
-                      comma, i, i, i);
-      services += fmt::format(
-          R"({}"s{}":{{"healthPath":"/health","maxConnections":220}})", comma,
-          i);
-    }
-    return fmt::format(
-        R"({{"version":"r{}","baseVersion":"r{}","routes":{{{}}},)"
-        R"("services":{{{}}},"limits":{{"maxHeaderBytes":16384,)"
-        R"("maxBodyBytes":1048576,"headerTimeoutS":5,"idleTimeoutS":20}}}})",
-        version, base, routes, services);
-  }
-
   // Sends the next version again and again until it is acknowledged.
   bool ChangeTable(milliseconds limit) {
-    const std::string table = MakeTable(acknowledged_ + 1, acknowledged_);
+    const std::string table =
+        version_record::Table(acknowledged_ + 1, acknowledged_, kServices);
     const auto until = soak_record::clock::now() + limit;
     for (std::size_t tries = 0; soak_record::clock::now() < until; ++tries) {
       const auto running = fleet_.RunningControlVms();
@@ -283,7 +311,7 @@
                     table)
               .status;
       if (status == 200) {
-        ++acknowledged_;
+        watch_.Acknowledge(++acknowledged_);
         ++result_.changes;
         return true;
       }
@@ -330,12 +358,15 @@
   seeded_random_source random_;
   soak_record record_;
   platform_fleet fleet_;
+  std::vector<std::unique_ptr<gone_vm>> gone_;
+  version_watch watch_{fleet_};
   std::vector<std::unique_ptr<soak_upstream>> upstreams_;
   soak_result result_;
   std::atomic<bool> stopped_ = false;
   std::atomic<std::size_t> answered_ = 0;
   std::atomic<std::size_t> exchanges_ = 0;
   std::atomic<std::size_t> restarts_ = 0;
+  std::atomic<std::size_t> cuts_ = 0;
   int acknowledged_ = 0;
   std::size_t last_probe_ = 0;
   std::mutex mutex_;
--- a/tests/support/platform_soak_run.h
+++ b/tests/support/platform_soak_run.h
@@ -24,13 +24,19 @@
   std::size_t answered = 0;  // Requests that callers got a success for.
   std::size_t exchanges = 0;
   std::size_t restarts = 0;
+  std::size_t cuts = 0;     // Of links of control VMs.
   std::size_t changes = 0;  // Acknowledged changes of the routing table.
+  // Probes of a version at nodes in touch, and how long after its
+  // acknowledgement one was last found missing.
+  std::size_t checked_probes = 0;
+  std::chrono::milliseconds latest_version{0};
 };
 
 // Runs one soak. Checked are: no unsafe request runs twice; a rejection that
 // promises "not run" is true; a success is the upstream's whole answer; nothing
 // reaches an upstream after its leave was confirmed; an acknowledged change is
-// read back; no process ends by itself; and all services answer in the end.
+// read back, and in force in time at each node in touch; no process ends by
+// itself; and all services answer in the end.
 soak_result RunSoak(const soak_options& options);
 
 }  // namespace hornbeam
