Control client: requests do not wait for control VMs that are gone

What callers of the product saw: the first settings or ledger request after the leader's control VM was gone took up to 300 ms longer for each gone address in the list.

Request tried the addresses one after the other, although the registrar was connected and forwards. Change: while the assumed leader is not connected, the request goes to the registrar; the link to the leader opens meanwhile.

Evidence: control_client_requests_test, seven gone control VMs: 1,819 ms before, below 1 ms now.

--- a/src/wire/control_client.h
+++ b/src/wire/control_client.h
@@ -144,6 +144,7 @@
       store_operation operation, std::string_view bytes, time_point deadline);
   attempt TryOnce(const std::shared_ptr<channel>& target,
                   const store_request& request, time_point deadline);
+  std::shared_ptr<channel> ChooseTarget(store_id store);
   void FollowLeader(store_id store, const std::string& address);
   bool SkipSuspects(store_id store);
   void AdvanceLeader(store_id store);
--- a/src/wire/control_client_requests.cc
+++ b/src/wire/control_client_requests.cc
@@ -53,9 +53,9 @@
   while (clock_.Now() < deadline) {
     request.correlation = next_correlation_++;
     request.may_forward = SkipSuspects(store);
-    const auto leader = channels_[LeaderOf(store)];
-    leader->ServeRequests();
-    attempt reply = TryOnce(leader, request, deadline);
+    const auto target = ChooseTarget(store);
+    request.may_forward |= target == RegistrarChannel();
+    attempt reply = TryOnce(target, request, deadline);
     if (reply.status == store_status::kDone) return std::move(reply.bytes);
     if (reply.status == store_status::kRejected) return store_error::kRejected;
     // Queries can be repeated; proposals only if certainly not accepted.
@@ -132,6 +132,21 @@
   return std::get<status_reply>(std::move(reply).value());
 }
 
+// Returns the assumed leader's channel, or while that is not connected the
+// registrar's, which forwards: a leader that is gone takes long to notice.
+std::shared_ptr<control_client::channel> control_client::ChooseTarget(
+    store_id store) {
+  auto leader = channels_[LeaderOf(store)];
+  leader->ServeRequests();
+  if (leader->Link().IsUp()) return leader;
+  auto registrar = RegistrarChannel();
+  const bool may_forward = registrar && registrar->Link().IsUp() &&
+                           !registrar->IsSuspect(clock_.Now());
+  if (!may_forward) return leader;
+  leader->EnsureStarted(leader->Fibers());
+  return registrar;
+}
+
 void control_client::FollowLeader(store_id store, const std::string& address) {
   const auto found =
       std::ranges::find(channels_, address, [](const auto& candidate) {
