Log storage: obsolete segments are deleted in their order

Cause: segments were deleted without a sync of their folder between them, and a failed deletion was passed over, so a later segment could be gone before an earlier one. Change: the folder is synced after each deletion; a failed one ends the round. Recovery stays strict, as a gap may also be lost entries.

Evidence: file_log_storage_test/segments_are_deleted_in_their_order, where the first deletion fails: recovery failed before, holds now. The order on a loss of power is not shown by a test.

--- a/src/replication/file_log_storage.cc
+++ b/src/replication/file_log_storage.cc
@@ -337,7 +337,9 @@
 }
 
 // Deletes the files that the snapshot makes obsolete. Errors are ignored,
-// because a file that is not deleted only takes up space.
+// because a file that is not deleted only takes up space. Segments disappear in
+// their order, even if power is lost: the next start takes a gap for
+// corruption.
 void file_log_storage::DeleteOldFiles(std::uint64_t snapshot_index) {
   std::error_code ignored;
   for (const std::uint64_t index :
@@ -347,7 +349,9 @@
   }
   while (segments_.size() > 1 &&
          segments_.front().last_index <= snapshot_index) {
-    fs::remove(SegmentPath(segments_.front().first_sequence), ignored);
+    std::error_code failure;
+    fs::remove(SegmentPath(segments_.front().first_sequence), failure);
+    if (failure || !SyncDirectory(directory_)) return;
     segments_.pop_front();
   }
 }
--- a/tests/file_log_storage_test.cc
+++ b/tests/file_log_storage_test.cc
@@ -282,6 +282,44 @@
   }
 }
 
+// Guards against a gap between segments, which the next start takes for
+// corruption: a segment that could not be deleted, or that a loss of power
+// brought back, while later ones were deleted.
+BOOST_AUTO_TEST_CASE(segments_are_deleted_in_their_order) {
+  const temporary_directory directory;
+  const fs::path aside = directory.Path() / "aside";
+  {
+    const auto storage = Open(directory.Path());
+    BOOST_REQUIRE(storage->Load().has_value());
+    for (std::uint64_t i = 0; i < 30; ++i)
+      BOOST_REQUIRE(storage->Write(MakeBatch(i + 1, 1)).has_value());
+    const fs::path first = ListSegments(directory.Path()).front();
+    BOOST_REQUIRE(ListSegments(directory.Path()).size() > 3U);
+    // A folder with content cannot be deleted as a file.
+    fs::rename(first, aside);
+    fs::create_directories(first / "content");
+    storage_batch batch;
+    batch.snapshot = std::make_shared<const log_snapshot>(
+        log_snapshot{.index = 29, .term = 29, .state = "state"});
+    BOOST_REQUIRE(storage->Write(batch).has_value());
+    fs::remove_all(first);
+    fs::rename(aside, first);
+  }
+  {
+    const auto storage = Open(directory.Path());
+    const auto recovered = storage->Load();
+    BOOST_REQUIRE(recovered.has_value());
+    BOOST_TEST(recovered.value().snapshot->index == 29U);
+    BOOST_TEST(recovered.value().entries.size() == 1U);
+    storage_batch batch;
+    batch.snapshot = std::make_shared<const log_snapshot>(
+        log_snapshot{.index = 30, .term = 30, .state = "state"});
+    BOOST_REQUIRE(storage->Write(batch).has_value());
+    BOOST_TEST(ListSegments(directory.Path()).size() == 1U);
+  }
+  BOOST_TEST(Open(directory.Path())->Load().has_value());
+}
+
 BOOST_AUTO_TEST_CASE(second_process_cannot_lock_data_directory) {
   const temporary_directory directory;
   const auto storage = Open(directory.Path());
