Leases: a node that restarts with its clock set back is seen by all control VMs

Cause: a forwarded lease with a lower incarnation counted as a late copy for as long as the ended lease is retained, 30 lease durations. Change: a copy that was renewed at least a lease duration after the known lease was last renewed or ended replaces it.

Evidence: lease_table_test/forwarded_lease_with_lower_incarnation_is_used_after_a_lease_duration fails before (not used within 12 s) and gives 4 s now; late copies are still not used.

--- a/src/controllers/lease_table.cc
+++ b/src/controllers/lease_table.cc
@@ -42,8 +42,13 @@
   const bool is_restart = source == lease_source::kNode && !same_incarnation;
   const bool is_older =
       LeaseVersion(renewal.lease) < LeaseVersion(record.renewal.lease);
-  if (!is_new && is_older && !is_restart) return false;
   const time_point renewed_at = now - age;
+  // Other control VMs see such a restart by copies that are more recent than
+  // the end of the previous lease can have been.
+  const bool is_forwarded_restart =
+      !record.live && !same_incarnation &&
+      renewed_at >= record.renewed_at + lease_duration_;
+  if (!is_new && is_older && !is_restart && !is_forwarded_restart) return false;
   // A late copy does not show which control VM is the node's registrar now.
   const bool is_late_copy = source == lease_source::kForwarded && record.live &&
                             same_incarnation && renewed_at < record.renewed_at;
--- a/tests/lease_table_test.cc
+++ b/tests/lease_table_test.cc
@@ -68,6 +68,34 @@
   BOOST_TEST(HasOnlyIncarnation(table, 4));
 }
 
+// Guards against a node that other control VMs than its registrar ignore for
+// two minutes after it restarted with its wall clock set back.
+BOOST_AUTO_TEST_CASE(
+    forwarded_lease_with_lower_incarnation_is_used_after_a_lease_duration) {
+  for (const bool has_ended : {false, true}) {
+    lease_table table = MakeTable();
+    if (has_ended) BOOST_TEST(table.End("sfax-a-1", 5, kStart));
+    constexpr duration kInterval = std::chrono::seconds(1);
+    duration used_after{0};
+    for (duration time{0}; time <= 3 * kLeaseDuration; time += kInterval) {
+      table.Expire(kStart + time);
+      table.Renew(MakeRenewal("sfax-a-1", 4), lease_source::kForwarded,
+                  duration(0), kStart + time);
+      if (!HasOnlyIncarnation(table, 4)) used_after = time + kInterval;
+    }
+    BOOST_TEST(used_after.count() == kLeaseDuration.count());
+  }
+}
+
+// Guards against a late copy that revives an earlier incarnation.
+BOOST_AUTO_TEST_CASE(late_copy_of_lower_incarnation_is_not_used) {
+  lease_table table = MakeTable();
+  BOOST_TEST(table.End("sfax-a-1", 5, kStart));
+  table.Renew(MakeRenewal("sfax-a-1", 4), lease_source::kForwarded,
+              kLeaseDuration, kStart + kAfterExpiry);
+  BOOST_TEST(table.Upstreams("guichet").empty());
+}
+
 BOOST_AUTO_TEST_CASE(lease_without_renewal_expires_and_is_reported_gone) {
   lease_table table = MakeTable();
   const std::uint64_t seen = table.Version();
