--- a/tests/control_client_requests_test.cc
+++ b/tests/control_client_requests_test.cc
@@ -10,6 +10,7 @@
 #include "io/fiber_group.h"
 #include "io/io_loop.h"
 #include "support/gone_vm.h"
+#include "support/scripted_control_vm.h"
 #include "wire/control_client.h"
 #include "wire/frame_listener.h"
 
@@ -20,33 +21,17 @@
 constexpr duration kPollInterval = std::chrono::milliseconds(2);
 constexpr duration kWaitLimit = std::chrono::seconds(10);
 
-// A current control VM that is not the leader: it answers requests that it may
+// Answers as a control VM that is not the leader: only requests that it may
 // forward.
-class forwarding_vm final : public frame_handler_factory {
- public:
-  std::shared_ptr<frame_handler> MakeFrameHandler() override {
-    return std::make_shared<handler>();
-  }
-
- private:
-  class handler final : public frame_handler {
-   public:
-    void OnMessage(frame_connection& connection, message content) override {
-      if (std::holds_alternative<hello>(content)) {
-        connection.TrySend(hello{.protocol_version = kProtocolVersion});
-        connection.TrySend(registrar_offer{.is_current = true});
-      }
-      const auto* const request = std::get_if<store_request>(&content);
-      if (request == nullptr) return;
-      connection.TrySend(store_reply{.correlation = request->correlation,
-                                     .status = request->may_forward
-                                                   ? store_status::kDone
-                                                   : store_status::kNotLeader,
-                                     .bytes = request->bytes});
-    }
-    void OnClosed(frame_connection& /*connection*/) override {}
-  };
-};
+void AnswerAsFollower(frame_connection& connection, const message& content) {
+  const auto* const request = std::get_if<store_request>(&content);
+  if (request == nullptr) return;
+  connection.TrySend(store_reply{.correlation = request->correlation,
+                                 .status = request->may_forward
+                                               ? store_status::kDone
+                                               : store_status::kNotLeader,
+                                 .bytes = request->bytes});
+}
 
 class idle_observer final : public control_observer {
  public:
@@ -67,7 +52,7 @@
     io_loop loop;
     const system_clock_source clock;
     fiber_group fibers;
-    forwarding_vm forwarding;
+    scripted_control_vm forwarding(true, AnswerAsFollower);
     const auto listener =
         frame_listener::MakeFrameListener(loop, {"127.0.0.1", 0}, clock);
     BOOST_REQUIRE(listener);
--- a/tests/control_client_test.cc
+++ b/tests/control_client_test.cc
@@ -15,6 +15,7 @@
 #include "io/fiber_group.h"
 #include "io/io_loop.h"
 #include "support/gone_vm.h"
+#include "support/scripted_control_vm.h"
 #include "wire/frame_codec.h"
 #include "wire/frame_listener.h"
 
@@ -24,6 +25,8 @@
 
 constexpr duration kPollInterval = std::chrono::milliseconds(2);
 constexpr duration kWaitLimit = std::chrono::seconds(10);
+// For which a control VM that leaves keeps a connection.
+constexpr duration kStayTime = std::chrono::milliseconds(100);
 
 // Behaves like a suspended VM: its kernel accepts connections and bytes.
 class suspended_vm {
@@ -39,86 +42,25 @@
   boost::asio::ip::tcp::acceptor acceptor_;
 };
 
-// A control VM that answers hello, is current and counts the leases that it
-// receives.
-class answering_vm final : public frame_handler_factory {
- public:
-  std::shared_ptr<frame_handler> MakeFrameHandler() override {
-    return std::make_shared<handler>(*this);
-  }
-
+// A current control VM that counts the leases that it receives.
+struct answering_vm {
   int leases = 0;
-
- private:
-  class handler final : public frame_handler {
-   public:
-    explicit handler(answering_vm& vm) : vm_(vm) {}
-    void OnMessage(frame_connection& connection, message content) override {
-      if (std::holds_alternative<hello>(content)) {
-        connection.TrySend(hello{.protocol_version = kProtocolVersion});
-        connection.TrySend(registrar_offer{.is_current = true});
-      }
-      if (std::holds_alternative<lease_renewal>(content)) ++vm_.leases;
-    }
-    void OnClosed(frame_connection& /*connection*/) override {}
-
-   private:
-    answering_vm& vm_;
-  };
+  scripted_control_vm vm{
+      true, [this](frame_connection& /*connection*/, const message& content) {
+        if (std::holds_alternative<lease_renewal>(content)) ++leases;
+      }};
 };
 
-// A control VM that is cut off from the others: it accepts nodes and says that
-// it is not current.
-class isolated_vm final : public frame_handler_factory {
- public:
-  std::shared_ptr<frame_handler> MakeFrameHandler() override {
-    return std::make_shared<handler>();
-  }
-
- private:
-  class handler final : public frame_handler {
-   public:
-    void OnMessage(frame_connection& connection, message content) override {
-      if (!std::holds_alternative<hello>(content)) return;
-      connection.TrySend(hello{.protocol_version = kProtocolVersion});
-      connection.TrySend(registrar_offer{.is_current = false});
-    }
-    void OnClosed(frame_connection& /*connection*/) override {}
+// Ends the connection some time after the node's lease.
+scripted_control_vm::message_rule LeaveAfterLease(fiber_group& fibers) {
+  return [&fibers](frame_connection& connection, const message& content) {
+    if (!std::holds_alternative<lease_renewal>(content)) return;
+    fibers.Start([weak = connection.weak_from_this()] {
+      io_loop::SleepFor(kStayTime);
+      if (const auto open = weak.lock()) open->Close();
+    });
   };
-};
-
-// A control VM that says that it is current and ends the connection some time
-// after the node's lease, again and again.
-class leaving_vm final : public frame_handler_factory {
- public:
-  explicit leaving_vm(fiber_group& fibers) : fibers_(fibers) {}
-  std::shared_ptr<frame_handler> MakeFrameHandler() override {
-    return std::make_shared<handler>(fibers_);
-  }
-
- private:
-  class handler final : public frame_handler {
-   public:
-    explicit handler(fiber_group& fibers) : fibers_(fibers) {}
-    void OnMessage(frame_connection& connection, message content) override {
-      if (std::holds_alternative<hello>(content)) {
-        connection.TrySend(hello{.protocol_version = kProtocolVersion});
-        connection.TrySend(registrar_offer{.is_current = true});
-      }
-      if (!std::holds_alternative<lease_renewal>(content)) return;
-      fibers_.Start([weak = connection.weak_from_this()] {
-        io_loop::SleepFor(kStayTime);
-        if (const auto open = weak.lock()) open->Close();
-      });
-    }
-    void OnClosed(frame_connection& /*connection*/) override {}
-
-   private:
-    static constexpr duration kStayTime = std::chrono::milliseconds(100);
-    fiber_group& fibers_;
-  };
-  fiber_group& fibers_;
-};
+}
 
 // A control VM that ends each connection as soon as it is open.
 class closing_vm final : public frame_handler_factory {
@@ -175,7 +117,7 @@
     const auto listener =
         frame_listener::MakeFrameListener(loop, {"127.0.0.1", 0}, clock);
     BOOST_REQUIRE(listener);
-    listener->Start(answering, fibers);
+    listener->Start(answering.vm, fibers);
     lease_sender sender;
     const std::array addresses = {first.Address(), second.Address(),
                                   listener->Address()};
@@ -215,9 +157,9 @@
     const system_clock_source clock;
     fiber_group fibers;
     answering_vm current;
-    isolated_vm isolated;
+    scripted_control_vm isolated(false);
     closing_vm closing;
-    leaving_vm leaving(fibers);
+    scripted_control_vm leaving(true, LeaveAfterLease(fibers));
     const gone_vm unreachable(gone_vm::kind::kUnreachable, "127.0.0.1", 0);
     const suspended_vm silent(loop);
     const auto listen = [&](frame_handler_factory& vm) {
@@ -226,7 +168,7 @@
       listener->Start(vm, fibers);
       return listener;
     };
-    const auto current_listener = listen(current);
+    const auto current_listener = listen(current.vm);
     const auto isolated_listener = listen(isolated);
     const auto closing_listener = listen(closing);
     const auto leaving_listener = listen(leaving);
@@ -313,7 +255,7 @@
     const auto listener =
         frame_listener::MakeFrameListener(loop, {"127.0.0.1", 0}, clock);
     BOOST_REQUIRE(listener);
-    listener->Start(answering, fibers);
+    listener->Start(answering.vm, fibers);
     lease_sender sender;
     const std::array addresses = {listener->Address()};
     const auto client = control_client::MakeControlClient(
@@ -353,7 +295,7 @@
     const auto listener =
         frame_listener::MakeFrameListener(loop, {"127.0.0.1", 0}, clock);
     BOOST_REQUIRE(listener);
-    listener->Start(answering, fibers);
+    listener->Start(answering.vm, fibers);
     const std::array addresses = {listener->Address()};
     const auto client = control_client::MakeControlClient(
         loop, clock, {"node-1", 1}, addresses, 0, nullptr);
--- a/tests/message_link_test.cc
+++ b/tests/message_link_test.cc
@@ -2,13 +2,13 @@
 #include "wire/message_link.h"
 
 #include <boost/test/unit_test.hpp>
-#include <memory>
 #include <optional>
 #include <thread>
 
 #include "base/system_clock_source.h"
 #include "io/fiber_group.h"
 #include "io/io_loop.h"
+#include "support/scripted_control_vm.h"
 #include "wire/frame_listener.h"
 
 namespace hornbeam {
@@ -20,39 +20,6 @@
 constexpr duration kPollInterval = std::chrono::milliseconds(2);
 constexpr duration kWaitLimit = std::chrono::seconds(10);
 
-// Answers hello at once, and then sends one more message after a delay.
-class falling_silent_vm final : public frame_handler_factory {
- public:
-  falling_silent_vm(fiber_group& fibers, duration last_message)
-      : fibers_(fibers), last_message_(last_message) {}
-  std::shared_ptr<frame_handler> MakeFrameHandler() override {
-    return std::make_shared<handler>(*this);
-  }
-
- private:
-  class handler final : public frame_handler {
-   public:
-    explicit handler(falling_silent_vm& vm) : vm_(vm) {}
-    void OnMessage(frame_connection& connection, message content) override {
-      if (!std::holds_alternative<hello>(content)) return;
-      connection.TrySend(hello{.protocol_version = kProtocolVersion});
-      vm_.fibers_.Start(
-          [delay = vm_.last_message_, weak = connection.weak_from_this()] {
-            io_loop::SleepFor(delay);
-            if (const auto open = weak.lock())
-              open->TrySend(registrar_offer{.is_current = true});
-          });
-    }
-    void OnClosed(frame_connection& /*connection*/) override {}
-
-   private:
-    falling_silent_vm& vm_;
-  };
-
-  fiber_group& fibers_;
-  const duration last_message_;
-};
-
 class event_times final : public link_observer {
  public:
   explicit event_times(const clock_source& clock) : clock_(clock) {}
@@ -76,7 +43,16 @@
     io_loop loop;
     const system_clock_source clock;
     fiber_group fibers;
-    falling_silent_vm peer(fibers, last_message);
+    // Answers hello at once, and then sends one more message after a delay.
+    scripted_control_vm peer(std::nullopt, [&](frame_connection& connection,
+                                               const message& content) {
+      if (!std::holds_alternative<hello>(content)) return;
+      fibers.Start([last_message, weak = connection.weak_from_this()] {
+        io_loop::SleepFor(last_message);
+        if (const auto open = weak.lock())
+          open->TrySend(registrar_offer{.is_current = true});
+      });
+    });
     const auto listener =
         frame_listener::MakeFrameListener(loop, {"127.0.0.1", 0}, clock);
     BOOST_REQUIRE(listener);
--- a/tests/replica_mesh_test.cc
+++ b/tests/replica_mesh_test.cc
@@ -3,7 +3,7 @@
 
 #include <array>
 #include <boost/test/unit_test.hpp>
-#include <memory>
+#include <optional>
 #include <span>
 #include <string>
 #include <thread>
@@ -11,6 +11,7 @@
 #include "base/system_clock_source.h"
 #include "io/fiber_group.h"
 #include "io/io_loop.h"
+#include "support/scripted_control_vm.h"
 #include "wire/frame_listener.h"
 
 namespace hornbeam {
@@ -20,24 +21,6 @@
 constexpr duration kPollInterval = std::chrono::milliseconds(2);
 constexpr duration kWaitLimit = std::chrono::seconds(10);
 
-// A control VM that answers hello.
-class answering_vm final : public frame_handler_factory {
- public:
-  std::shared_ptr<frame_handler> MakeFrameHandler() override {
-    return std::make_shared<handler>();
-  }
-
- private:
-  class handler final : public frame_handler {
-   public:
-    void OnMessage(frame_connection& connection, message content) override {
-      if (std::holds_alternative<hello>(content))
-        connection.TrySend(hello{.protocol_version = kProtocolVersion});
-    }
-    void OnClosed(frame_connection& /*connection*/) override {}
-  };
-};
-
 }  // namespace
 
 BOOST_AUTO_TEST_SUITE(replica_mesh_test)
@@ -49,7 +32,7 @@
     io_loop loop;
     const system_clock_source clock;
     fiber_group fibers;
-    answering_vm answering;
+    scripted_control_vm answering(std::nullopt);
     const auto listener =
         frame_listener::MakeFrameListener(loop, {"127.0.0.1", 0}, clock);
     BOOST_REQUIRE(listener);
