--- a/tests/platform_cut_process_test.cc
+++ b/tests/platform_cut_process_test.cc
@@ -18,8 +18,8 @@
 #include "support/gone_vm.h"
 #include "support/platform_connection.h"
 #include "support/platform_fleet.h"
-#include "support/version_probe.h"
-#include "support/version_watch.h"
+#include "support/platform_version_probe.h"
+#include "support/platform_version_watch.h"
 #include "support/wait_until.h"
 
 namespace hornbeam {
--- a/tests/support/platform_soak_run.cc
+++ b/tests/support/platform_soak_run.cc
@@ -12,8 +12,8 @@
 #include "support/gone_vm.h"
 #include "support/platform_fleet.h"
 #include "support/platform_soak_upstream.h"
-#include "support/version_probe.h"
-#include "support/version_watch.h"
+#include "support/platform_version_probe.h"
+#include "support/platform_version_watch.h"
 #include "support/wait_until.h"
 
 namespace hornbeam {
--- a/tests/support/version_probe.cc
+++ b/tests/support/platform_version_probe.cc
@@ -1,4 +1,4 @@
-#include "support/version_probe.h"
+#include "support/platform_version_probe.h"
 
 #include <fmt/format.h>
 
--- a/tests/support/version_watch.cc
+++ b/tests/support/platform_version_watch.cc
@@ -1,4 +1,4 @@
-#include "support/version_watch.h"
+#include "support/platform_version_watch.h"
 
 #include <fmt/format.h>
 
--- a/tests/support/version_watch.h
+++ b/tests/support/platform_version_watch.h
@@ -10,7 +10,7 @@
 #include <vector>
 
 #include "support/platform_fleet.h"
-#include "support/version_probe.h"
+#include "support/platform_version_probe.h"
 
 namespace hornbeam {
 
